--- a/src/hoistmoor/clients/answer_body.py
+++ b/src/hoistmoor/clients/answer_body.py
@@ -27,13 +27,19 @@
     """
 
     def __init__(
-        self, response: aiohttp.ClientResponse, method: str, attempt_id: str
+        self,
+        response: aiohttp.ClientResponse,
+        method: str,
+        attempt_id: str,
+        *,
+        has_end_mark: bool = True,
     ) -> None:
         self.is_whole = False
         self.dropped = 0
         self._response = response
         self._method = method
         self._attempt_id = attempt_id
+        self._has_end_mark = has_end_mark
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yields the parts of the body; look at ``is_whole`` at each.
@@ -43,13 +49,16 @@
             aiohttp.ClientError: The connection broke.
             TimeoutError: The rest did not come in time.
         """
-        if self._response.content_type == frames.EVENT_STREAM:
+        is_stream = self._response.content_type == frames.EVENT_STREAM
+        if is_stream and self._has_end_mark:
             async for event in self._read_events():
                 yield event
             return
         async for data in self._response.content.iter_any():
             yield data
-        self.is_whole = self._has_length()
+        # A connection that was reset has raised by now; one that was closed
+        # ends an answer without a length, if the servers are known to do so.
+        self.is_whole = self._has_length() or not self._has_end_mark
 
     async def settle(self) -> None:
         """Waits shortly for the end of the body after the end mark.
--- a/src/hoistmoor/clients/exchange.py
+++ b/src/hoistmoor/clients/exchange.py
@@ -12,8 +12,11 @@
 
 import aiohttp
 import attrs
+from multidict import CIMultiDict
+import yarl
 
 from hoistmoor.clients import answer_body
+from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import exchange_errors
 from hoistmoor.clients import frames
 from hoistmoor.clients import replies
@@ -24,9 +27,6 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-NOT_RUN_HEADER = "X-Not-Run"
-NOT_RUN_REASON_HEADER = "X-Not-Run-Reason"
-
 _State = outcomes.ExchangeState
 
 # A state only moves on; the last two are final.
@@ -61,9 +61,9 @@
 
     Attributes:
         method: HTTP method.
-        url: Whole URL.
-        attempt_id: Names this attempt; goes out as ``X-Attempt-Id``.
-        headers: Further headers.
+        url: Whole URL; its path and query go out as written.
+        attempt_id: Names this attempt; goes out in the dialect's header.
+        headers: Further headers; names may stand several times.
         body: The body, whole.
     """
 
@@ -128,6 +128,7 @@
         session: aiohttp.ClientSession,
         request: BackendRequest,
         timeouts: Timeouts | None = None,
+        dialect: dialect_lib.Dialect = dialect_lib.OWN,
     ) -> None:
         """Makes an exchange; nothing is sent yet.
 
@@ -144,6 +145,7 @@
         self.state = _State.UNSENT
         self.not_run_reason = ""
         self._session = session
+        self._dialect = dialect
         self._timeouts = timeouts or Timeouts()
         self._response: aiohttp.ClientResponse | None = None
         self._body: answer_body.AnswerBody | None = None
@@ -220,9 +222,9 @@
         request = self.request
         self._response = await self._session.request(
             request.method,
-            request.url,
+            yarl.URL(request.url, encoded=True),
             data=request.body or None,
-            headers=_headers_of(request),
+            headers=_headers_of(request, self._dialect.attempt_header),
             timeout=aiohttp.ClientTimeout(
                 total=self._timeouts.total,
                 connect=self._timeouts.connect,
@@ -233,7 +235,7 @@
         return self._response
 
     def _take_head(self, response: aiohttp.ClientResponse) -> Head:
-        echoed = response.headers.get(sessions.ATTEMPT_HEADER)
+        echoed = response.headers.get(self._dialect.attempt_header)
         # On a new connection nothing else was asked, so that an answer
         # without an id can only be this attempt's.
         is_ours = echoed == self.request.attempt_id or (
@@ -242,12 +244,9 @@
         if not is_ours:
             self._heads_dropped += 1
             raise exchange_errors.of_other_attempt(self.state, self.request.url)
-        if (
-            response.status >= 400
-            and response.headers.get(NOT_RUN_HEADER) == "1"
-        ):
+        if self._dialect.says_not_run(response.status, response.headers):
             self.not_run_reason = response.headers.get(
-                NOT_RUN_REASON_HEADER, ""
+                self._dialect.not_run_reason_header, ""
             )
             self._advance(_State.DECLINED)
         self._advance(_State.ANSWERING)
@@ -257,7 +256,10 @@
         self, response: aiohttp.ClientResponse
     ) -> AsyncIterator[Part]:
         body = answer_body.AnswerBody(
-            response, self.request.method, self.request.attempt_id
+            response,
+            self.request.method,
+            self.request.attempt_id,
+            has_end_mark=self._dialect.has_end_mark,
         )
         self._body = body
         async for data in body.read():
@@ -275,15 +277,10 @@
             self.state = state
 
 
-def _headers_of(request: BackendRequest) -> dict[str, str]:
-    own = {
-        sessions.ATTEMPT_HEADER: request.attempt_id,
-        "Accept-Encoding": "identity",
-    }
-    replaced = {name.lower() for name in own}
-    others = {
-        name: value
-        for name, value in request.headers.items()
-        if name.lower() not in replaced
-    }
-    return {**others, **own}
+def _headers_of(
+    request: BackendRequest, attempt_header: str
+) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.headers)
+    headers[attempt_header] = request.attempt_id
+    headers["Accept-Encoding"] = "identity"
+    return headers
--- a/src/hoistmoor/clients/sessions.py
+++ b/src/hoistmoor/clients/sessions.py
@@ -9,13 +9,19 @@
 
 from __future__ import annotations
 
+import functools
+import socket
 from typing import Any, Protocol, TYPE_CHECKING
 
 import aiohttp
+from aiohttp import client_proto
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from types import SimpleNamespace
 
+    import aiohappyeyeballs
+
 ATTEMPT_HEADER = "X-Attempt-Id"
 
 CONNECT_TIMEOUT = 1.0  # Seconds to open a connection.
@@ -42,6 +48,11 @@
 class QuietConnector(aiohttp.TCPConnector):
     """Reuses a connection only if nothing arrived on it while it was idle."""
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        make_handler = functools.partial(ResetAwareHandler, loop=self._loop)
+        self._factory = make_handler  # type: ignore[assignment]
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """Returns a clean idle connection, or None to open a new one."""
         for entry in tuple(self._conns.get(key, ())):
@@ -51,13 +62,34 @@
         return await super()._get(key, traces)
 
 
+class ResetAwareHandler(client_proto.ResponseHandler):
+    """Tells an answer that was reset from one that ended.
+
+    aiohttp takes the end of a connection for the end of an answer without a
+    length, also where the connection was reset.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Marks the answer under way as cut."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientConnectionError(f"connection lost: {exc!r}")
+            )
+        super().connection_lost(exc)
+
+
 class AttemptResponse(aiohttp.ClientResponse):
     """Lets its connection be reused only if it names the attempt asked for.
 
     The connection of an answer without the id, or with another one, could
     hand a late answer to the next request.
+
+    Attributes:
+        attempt_header: Names the attempt, in the request and the answer.
     """
 
+    attempt_header = ATTEMPT_HEADER
     _head_known = False
 
     async def start(
@@ -65,8 +97,8 @@
     ) -> aiohttp.ClientResponse:
         """Reads the head of the answer."""
         await super().start(connection)
-        asked = self.request_info.headers.get(ATTEMPT_HEADER)
-        foreign = asked and self.headers.get(ATTEMPT_HEADER) != asked
+        asked = self.request_info.headers.get(self.attempt_header)
+        foreign = asked and self.headers.get(self.attempt_header) != asked
         if foreign and connection.protocol is not None:
             connection.protocol.force_close()
         self._head_known = True
@@ -76,8 +108,24 @@
 
     def _response_eof(self) -> None:
         # An answer may end before its head was looked at.
-        if self._head_known:
-            super()._response_eof()
+        if not self._head_known:
+            return
+        # It may also end before the request's body is out: what the server
+        # still expects must not be taken from the next request.
+        writer = self._writer
+        if writer is not None and not writer.done() and self._connection:
+            protocol = self._connection.protocol
+            if protocol is not None:
+                protocol.force_close()
+        super()._response_eof()
+
+
+def _response_class(attempt_header: str) -> type[AttemptResponse]:
+    return type(
+        "AttemptResponse",
+        (AttemptResponse,),
+        {"attempt_header": attempt_header},
+    )
 
 
 def _watcher(context: SimpleNamespace) -> Watcher | None:
@@ -132,6 +180,9 @@
     connect_timeout: float = CONNECT_TIMEOUT,
     total_timeout: float | None = TOTAL_TIMEOUT,
     reuse_connections: bool = True,
+    idle_timeout: float = IDLE_TIMEOUT,
+    attempt_header: str = ATTEMPT_HEADER,
+    unanswered_timeout: float | None = None,
 ) -> aiohttp.ClientSession:
     """Opens a session that sends each request at most once.
 
@@ -141,14 +192,19 @@
             otherwise; None for no bound.
         reuse_connections: False opens a connection for each request, which
             rules out that a stale one leaves the outcome unknown.
+        idle_timeout: Seconds that an unused connection is kept.
+        attempt_header: Names the attempt, in requests and answers.
+        unanswered_timeout: Seconds that sent bytes may stay unacknowledged
+            before the connection counts as lost; None for the system's.
 
     Returns:
         The session; the caller closes it.
     """
     connector = QuietConnector(
         limit=MAX_CONNECTIONS,
-        keepalive_timeout=IDLE_TIMEOUT if reuse_connections else None,
+        keepalive_timeout=idle_timeout if reuse_connections else None,
         force_close=not reuse_connections,
+        socket_factory=_socket_factory(unanswered_timeout),
     )
     session = aiohttp.ClientSession(
         connector=connector,
@@ -156,15 +212,40 @@
             total=total_timeout, connect=connect_timeout
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("Accept-Encoding",),
+        skip_auto_headers=(
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+            "User-Agent",
+        ),
         auto_decompress=False,
-        response_class=AttemptResponse,
+        response_class=_response_class(attempt_header),
         trace_configs=[TRACE],
     )
     _send_once(session)
     return session
 
 
+def _socket_factory(
+    unanswered_timeout: float | None,
+) -> Callable[[aiohappyeyeballs.AddrInfoType], socket.socket] | None:
+    """Returns what opens sockets that notice a lost peer in time."""
+    if unanswered_timeout is None:
+        return None
+    timeout_ms = int(unanswered_timeout * 1000)
+
+    def open_socket(address: aiohappyeyeballs.AddrInfoType) -> socket.socket:
+        family, kind, protocol, _, _ = address
+        opened = socket.socket(family, kind, protocol)
+        opened.setblocking(False)
+        opened.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+        return opened
+
+    return open_socket
+
+
 def _send_once(session: aiohttp.ClientSession) -> None:
     """Keeps ``session`` from sending a request again by itself.
 
--- /dev/null
+++ b/src/hoistmoor/core/relay/fleet.py
@@ -0,0 +1,176 @@
+"""Backend servers as their entries, their answers and our own work show them.
+
+Reported load is old when it arrives and many hosts read the same report, so
+the work that this host itself has under way is added to what others have.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hoistmoor.core.routing import health as health_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+LOAD_LIFE = 3.0  # Seconds after which a reported load counts no more.
+# Seconds that a server whose entry lapsed while the store was away is kept:
+# the store lists those that live again within about two seconds.
+LAPSE_GRACE = 2.0
+FULL_REST = 0.25  # Seconds without new work for a server that had no room.
+MAX_RESTING = 0.5  # Part of a service's servers that may rest as outliers.
+
+
+@attrs.frozen
+class ServerEntry:
+    """What a backend server tells of itself in the store.
+
+    Attributes:
+        server_id: New with each start of the server.
+        service: The service that it belongs to.
+        address: ``ip:port``; may be used again by another server.
+        zone: Its failure domain.
+        version: Version of its software.
+        slots: Requests that it works on at once.
+        is_leaving: Whether it takes no new work.
+        warm_in: Seconds for which it stays slow after its start.
+        models: Models that it has loaded.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    slots: int = 1
+    is_leaving: bool = False
+    warm_in: float = 0.0
+    models: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class LoadReport:
+    """Load that a server told with an answer.
+
+    Attributes:
+        running: Requests that it worked on.
+        waiting: Requests in its queue.
+        slots: Requests that it works on at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.define(eq=False)
+class ServerState:
+    """One backend server and what this host knows of it.
+
+    Attributes:
+        entry: As last told.
+        health: How its attempts have gone.
+        in_flight: Requests of this host that it has.
+        others: Requests of other hosts that it had when it last told.
+        others_at: When it last told.
+        lapsed_at: When its entry went away in doubt; None while it is listed.
+    """
+
+    entry: ServerEntry
+    health: health_lib.Health = attrs.field(factory=health_lib.Health)
+    in_flight: int = 0
+    others: int = 0
+    others_at: float = float("-inf")
+    lapsed_at: float | None = None
+
+    def load(self, now: float) -> float:
+        """Returns its work as a multiple of its slots."""
+        fresh = now - self.others_at < LOAD_LIFE
+        work = self.in_flight + (self.others if fresh else 0)
+        return (work + 1) / max(1, self.entry.slots)
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Notes a load report that came with an answer to this host."""
+        work = report.running + report.waiting
+        self.others = max(0, work - self.in_flight)
+        self.others_at = now
+
+
+class Fleet:
+    """All backend servers that are listed.
+
+    Attributes:
+        servers: By id.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[str, ServerState] = {}
+        self._by_service: dict[str, dict[str, ServerState]] = {}
+
+    def __iter__(self) -> Iterator[ServerState]:
+        """Yields all servers."""
+        return iter(tuple(self.servers.values()))
+
+    def put(self, entry: ServerEntry) -> bool:
+        """Takes an entry; returns whether it changes what to do."""
+        known = self.servers.get(entry.server_id)
+        if known is None:
+            state = ServerState(entry)
+            self.servers[entry.server_id] = state
+            pool = self._by_service.setdefault(entry.service, {})
+            pool[entry.server_id] = state
+            return True
+        changed = known.entry != entry or known.lapsed_at is not None
+        known.entry = entry
+        known.lapsed_at = None
+        return changed
+
+    def remove(self, server_id: str) -> bool:
+        """Forgets a server; returns whether it was known."""
+        state = self.servers.pop(server_id, None)
+        if state is None:
+            return False
+        del self._by_service[state.entry.service][server_id]
+        return True
+
+    def lapse(self, server_id: str, now: float) -> None:
+        """Notes that an entry is missing, maybe because the store was away."""
+        state = self.servers.get(server_id)
+        if state is not None and state.lapsed_at is None:
+            state.lapsed_at = now
+
+    def drop_lapsed(self, now: float) -> list[str]:
+        """Forgets servers missing for too long; returns their ids."""
+        gone = [
+            each.entry.server_id
+            for each in self
+            if each.lapsed_at is not None and now - each.lapsed_at > LAPSE_GRACE
+        ]
+        for server_id in gone:
+            self.remove(server_id)
+        return gone
+
+    def ready(
+        self, service: str, excluded: Iterable[str], now: float
+    ) -> list[ServerState]:
+        """Returns the servers of a service that may get new work.
+
+        Outliers and full servers are left out while enough others remain.
+        """
+        pool = [
+            each
+            for each in self._by_service.get(service, {}).values()
+            if not each.entry.is_leaving
+            and each.entry.server_id not in excluded
+        ]
+        for each in pool:
+            each.health.wake(now)
+        sound = [each for each in pool if not each.health.is_resting]
+        return sound if len(sound) >= len(pool) * MAX_RESTING else pool
+
+    def versions(self, service: str) -> set[str]:
+        """Returns the versions that a service's servers have."""
+        pool = self._by_service.get(service, {}).values()
+        return {each.entry.version for each in pool}
--- /dev/null
+++ b/src/hoistmoor/core/relay/machine.py
@@ -0,0 +1,200 @@
+"""Carries one relayed request to its final answer.
+
+It promises that a request which may run once only is sent again only while it
+is certain that it has not run, that a refusal says ``not_run`` only if that
+is so, and that an answer which has begun is never followed by another.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
+from hoistmoor.core.relay import cascade
+from hoistmoor.core.relay import configuration
+from hoistmoor.core.relay import messages
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay import fleet
+    from hoistmoor.core.relay import requests
+    from hoistmoor.core.relay import router as router_lib
+
+_State = outcomes.ExchangeState
+
+# Servers that may decline one request before it is refused: a server that
+# declines has not run it, so the route's attempts do not count these.
+MAX_DECLINED = 3
+# A silent server is given up after so many times the route's target, if the
+# request may run again: the caller still gets its answer from another one.
+PATIENCE_FACTOR = 3.0
+LEAST_PATIENCE = 0.3  # Seconds, for routes with a very short target.
+LEAST_TIME = 0.02  # Seconds left under which an attempt makes no sense.
+
+_REASON_BY_STATE = {
+    _State.UNSENT: refusals.Reason.BACKEND_UNREACHABLE,
+    _State.SENDING: refusals.Reason.BACKEND_CUT,
+    _State.SENT: refusals.Reason.BACKEND_CUT,
+    _State.ANSWERING: refusals.Reason.BACKEND_CUT,
+    _State.ANSWERED: refusals.Reason.BACKEND_ERROR,
+    _State.DECLINED: refusals.Reason.BACKEND_DECLINED,
+}
+
+
+class RelayMachine:
+    """One request, from admission to its final answer.
+
+    Attributes:
+        request: What is wanted.
+        server: Backend server of the attempt under way or last made.
+        model: Model that it was asked for.
+        sent: Attempts made, those that were declined included.
+        may_have_run: Whether any attempt may have run.
+    """
+
+    def __init__(
+        self, request: requests.RelayRequest, router: router_lib.Router
+    ) -> None:
+        self.request = request
+        self.server: fleet.ServerState | None = None
+        self.model = _first_model(request)
+        self.sent = 0
+        self.may_have_run = False
+        self._router = router
+        self._runs = 0
+        self._declined = 0
+        self._begun = False  # Whether the caller has part of an answer.
+        self._escalating = False
+        self._excluded: frozenset[str] = frozenset()
+        self._detail = ""
+
+    def handle(self, event: messages.Event, now: float) -> messages.Effect:
+        """Takes an event in and returns what is to be done.
+
+        Args:
+            event: What happened.
+            now: Steady time, in seconds.
+        """
+        return self._on(event, now)
+
+    @singledispatchmethod
+    def _on(self, event: messages.Event, now: float) -> messages.Effect:
+        raise NotImplementedError(type(event))
+
+    @_on.register
+    def _(self, event: messages.Started, now: float) -> messages.Effect:
+        return self._send(now, refusals.Reason.NO_CAPACITY)
+
+    @_on.register
+    def _(self, event: messages.HeadArrived, now: float) -> messages.Effect:
+        if self._begun or not 200 <= event.status < 300:
+            return messages.Pass()
+        better = self._better_model(event.confidence, now)
+        if better is None:
+            return messages.Pass()
+        self.model = better
+        self._escalating = True
+        return messages.Drop()
+
+    def _better_model(self, confidence: float | None, now: float) -> str | None:
+        request = self.request
+        chooses = request.prompt and request.prompt.model == cascade.ANY_MODEL
+        if not chooses or self._runs + 1 >= request.route.max_attempts:
+            return None
+        if not request.route.may_run_again:
+            return None
+        better = cascade.next_size(request.route.sizes, self.model, confidence)
+        if better is None or not self._router.may_repeat(request, now):
+            return None
+        return better
+
+    @_on.register
+    def _(self, event: messages.AttemptEnded, now: float) -> messages.Effect:
+        assert self.server is not None
+        self._note_end(event)
+        if self._escalating:
+            self._escalating = False
+            return self._send(now, refusals.Reason.BACKEND_CUT)
+        if event.state is _State.ANSWERED and not self._should_repeat(
+            event, now
+        ):
+            return messages.Deliver()
+        self._excluded |= {self.server.entry.server_id}
+        self._detail = event.detail or f"status {event.status}"
+        if self._may_try_again(event.state, now):
+            return self._send(now, _REASON_BY_STATE[event.state])
+        return self._give_up(_REASON_BY_STATE[event.state])
+
+    def _note_end(self, event: messages.AttemptEnded) -> None:
+        outcome = outcomes.OUTCOME_BY_STATE[event.state]
+        if outcome is outcomes.Outcome.NOT_RUN:
+            self._declined += 1
+            return
+        self.may_have_run = True
+        self._runs += 1
+
+    def _should_repeat(self, event: messages.AttemptEnded, now: float) -> bool:
+        """Returns whether a server's failure is better asked for again."""
+        if event.status < 500 or self._begun:
+            return False
+        may_run = self.request.route.may_run_again
+        return may_run and self._may_try_again(_State.ANSWERING, now)
+
+    def _may_try_again(self, state: outcomes.ExchangeState, now: float) -> bool:
+        request = self.request
+        if request.deadline - now < LEAST_TIME:
+            return False
+        if self._runs >= request.route.max_attempts:
+            return False
+        if self._declined > MAX_DECLINED:
+            return False
+        if not outcomes.may_resend(state, request.route.may_run_again):
+            return False
+        return self._router.may_repeat(request, now)
+
+    @_on.register
+    def _(self, event: messages.DeadlineReached, now: float) -> messages.Effect:
+        self._detail = "the time allowed is over"
+        return self._give_up(refusals.Reason.DEADLINE_EXCEEDED)
+
+    def note_begun(self) -> None:
+        """The caller got a part of the answer."""
+        self._begun = True
+
+    def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
+        server = self._router.pick(self.request, self._excluded, now)
+        if server is None:
+            self._detail = self._detail or "no backend server is ready"
+            return self._give_up(reason)
+        self._router.note_sent(self.request, server, self.sent > 0, now)
+        self.sent += 1
+        self.server = server
+        return messages.Send(
+            server, self.model, self.request.deadline, self._patience()
+        )
+
+    def _patience(self) -> float | None:
+        route = self.request.route
+        last = self._runs + 1 >= route.max_attempts
+        if last or not route.may_run_again:
+            return None
+        if route.kind is configuration.RouteKind.STREAM:
+            return max(route.target, route.longest_pause) * PATIENCE_FACTOR
+        return max(LEAST_PATIENCE, route.target * PATIENCE_FACTOR)
+
+    def _give_up(self, reason: refusals.Reason) -> messages.Effect:
+        if self._begun:
+            return messages.Break(self._detail)
+        outcome = outcomes.Outcome.NOT_RUN
+        if self.may_have_run:
+            outcome = outcomes.Outcome.UNKNOWN
+        return messages.Refuse(refusals.Refusal(reason, outcome, self._detail))
+
+
+def _first_model(request: requests.RelayRequest) -> str:
+    if request.prompt is None:
+        return ""
+    if request.prompt.model != cascade.ANY_MODEL or not request.route.sizes:
+        return request.prompt.model
+    return cascade.first_size(request.route.sizes)
--- /dev/null
+++ b/src/hoistmoor/core/relay/requests.py
@@ -0,0 +1,73 @@
+"""A request as the relay sees it: where it goes, and how long it may take."""
+
+from __future__ import annotations
+
+import attrs
+
+from hoistmoor.core.relay import configuration
+
+
+@attrs.frozen
+class PromptPart:
+    """One part of a prompt; requests with the same start share parts.
+
+    Attributes:
+        name: The same for the same text.
+        tokens: Its length.
+    """
+
+    name: str
+    tokens: int
+
+
+@attrs.frozen
+class Prompt:
+    """What a model request tells of its prompt.
+
+    Attributes:
+        model: Model asked for, or ``*`` where the relay chooses the size.
+        tokens: Length of the prompt.
+        max_new_tokens: Tokens that may be generated, at most.
+        parts: Parts in order; the last belongs to this request or session.
+    """
+
+    model: str
+    tokens: int = 0
+    max_new_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def subject(self) -> str:
+        """Name of the last part that other requests share, or empty."""
+        return self.parts[-2].name if len(self.parts) > 1 else ""
+
+
+@attrs.frozen
+class RelayRequest:
+    """A request that was read whole.
+
+    Attributes:
+        request_id: The caller's id of this attempt of its own.
+        route: The route that it came by.
+        service: The service chosen for it.
+        account: Name of the client account; empty on an anonymous route.
+        revision: Revision that it was admitted under.
+        arrived: When its head was read, on the steady clock, in seconds.
+        deadline: When its final answer is due, on the steady clock.
+        caller_deadline: When the caller stops waiting.
+        prompt: For model requests.
+        session: The caller's name for the session, or empty.
+        last_event: Newest event that the caller has; None for none.
+    """
+
+    request_id: str
+    route: configuration.Route
+    service: str
+    account: str
+    revision: int
+    arrived: float
+    deadline: float
+    caller_deadline: float
+    prompt: Prompt | None = None
+    session: str = ""
+    last_event: int | None = None
--- /dev/null
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -0,0 +1,309 @@
+"""Roll-outs of a service's version: trial, spread, and what it is judged by.
+
+No host holds a lease on a roll-out. Each phase is a record on the store,
+written on the condition that nothing was written there since the writer read
+it, so the first record has won for everyone. Any host may write the next one;
+they take turns only to save calls.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+import xxhash
+
+TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
+SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
+COMPLETE_AT = 0.85  # Part of it after which the old version is given up.
+MIN_ANSWERS = 8  # Answers of one route before its share of failures counts.
+MIN_BAD = 5  # Bad answers before a version is judged.
+FAILURE_FACTOR = 2.0  # Times the old version's failures, and
+FAILURE_SLACK = 0.1  # this share more, make a version bad.
+SLOW_PACE = 3.5  # Times the usual duration that make an answer slow.
+SLOW_SHARE = 0.35  # Share of slow answers, above the old one's, that is bad.
+ACTOR_LIFE = 3.0  # Seconds after its last evidence that a host has its turn.
+TURN = 0.6  # Seconds that each host waits for those before it.
+
+
+class Phase(enum.StrEnum):
+    """How far a roll-out has come."""
+
+    TRIAL = "trial"
+    SPREAD = "spread"
+    COMPLETE = "complete"
+    REVERTED = "reverted"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing may follow it."""
+        return self in (Phase.COMPLETE, Phase.REVERTED)
+
+
+@attrs.frozen
+class Order:
+    """An operator's order to move a service to a version.
+
+    Attributes:
+        service: The service.
+        target: The version that all requests are to go to.
+        duration: Seconds allowed.
+        number: Offset of the order's record; rises with each order.
+    """
+
+    service: str
+    target: str
+    duration: float
+    number: int
+
+
+@attrs.frozen
+class PhaseRecord:
+    """A phase that a roll-out has reached, as the store keeps it.
+
+    Attributes:
+        service: The service.
+        target: The version that is rolled out.
+        number: Number of the order.
+        phase: How far it has come.
+    """
+
+    service: str
+    target: str
+    number: int
+    phase: Phase
+
+
+@attrs.define
+class Tally:
+    """Answers of one version on one route.
+
+    Attributes:
+        answers: Whole answers.
+        failures: Those that said that the server failed.
+        slow: Those that took several times the usual time.
+    """
+
+    answers: int = 0
+    failures: int = 0
+    slow: int = 0
+
+    def add(self, other: Tally) -> None:
+        """Adds another host's counts."""
+        self.answers += other.answers
+        self.failures += other.failures
+        self.slow += other.slow
+
+    def share(self, count: int) -> float:
+        """Returns ``count`` as a share of all answers."""
+        return count / self.answers if self.answers else 0.0
+
+
+@attrs.frozen
+class RouteEvidence:
+    """Answers on one route: of the target, and of the versions before it."""
+
+    target: Tally = attrs.field(factory=Tally)
+    others: Tally = attrs.field(factory=Tally)
+
+
+@attrs.frozen
+class Evidence:
+    """What one run of one host has counted in one roll-out.
+
+    Attributes:
+        service: The service.
+        number: Number of the order.
+        host: Name of the host and of its run.
+        routes: Counts by the route's name.
+    """
+
+    service: str
+    number: int
+    host: str
+    routes: dict[str, RouteEvidence] = attrs.field(factory=dict)
+
+
+def pool(all_evidence: list[Evidence]) -> dict[str, RouteEvidence]:
+    """Returns the counts of several hosts, added up by route."""
+    pooled: dict[str, RouteEvidence] = {}
+    for evidence in all_evidence:
+        for name, route in evidence.routes.items():
+            sums = pooled.setdefault(name, RouteEvidence())
+            sums.target.add(route.target)
+            sums.others.add(route.others)
+    return pooled
+
+
+def is_bad(route: RouteEvidence) -> bool:
+    """Returns whether the target does worse on a route than the others."""
+    target, others = route.target, route.others
+    if target.answers < MIN_ANSWERS:
+        return False
+    usual = others.share(others.failures)
+    if (
+        target.failures >= MIN_BAD
+        and target.share(target.failures)
+        > FAILURE_FACTOR * usual + FAILURE_SLACK
+    ):
+        return True
+    slower = target.share(target.slow) - others.share(others.slow)
+    return target.slow >= MIN_BAD and slower > SLOW_SHARE
+
+
+def next_phase(
+    phase: Phase, pooled: dict[str, RouteEvidence], elapsed: float
+) -> Phase | None:
+    """Returns the phase that should follow now, or None to wait.
+
+    Args:
+        phase: The one that was reached.
+        pooled: Counts of all hosts, by route.
+        elapsed: Part of the time allowed that is over, from 0.
+    """
+    if phase.is_final:
+        return None
+    if any(is_bad(route) for route in pooled.values()):
+        return Phase.REVERTED
+    if phase is Phase.TRIAL and elapsed >= SPREAD_AT:
+        return Phase.SPREAD
+    if phase is Phase.SPREAD and elapsed >= COMPLETE_AT:
+        return Phase.COMPLETE
+    return None
+
+
+def turn_of(host: str, hosts: list[str], number: int) -> float:
+    """Returns the seconds that ``host`` waits before it writes a phase."""
+
+    def rank(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{number} {name}".encode())
+
+    return sorted({*hosts, host}, key=rank).index(host) * TURN
+
+
+@attrs.define
+class Progress:
+    """One service's newest roll-out at this host.
+
+    Attributes:
+        order: The operator's order.
+        seen_at: Steady time at which this host read it.
+        phase: Reached, as the store says.
+        counts: What this host counted, by the route's name.
+        sent: Requests of this host to the service since the order.
+        sent_target: Those among them that went to the target.
+    """
+
+    order: Order
+    seen_at: float
+    phase: Phase = Phase.TRIAL
+    counts: dict[str, RouteEvidence] = attrs.field(factory=dict)
+    sent: int = 0
+    sent_target: int = 0
+
+    def elapsed(self, now: float) -> float:
+        """Returns the part of the time allowed that is over."""
+        return (now - self.seen_at) / max(self.order.duration, 1e-3)
+
+    def note_answer(
+        self, route: str, version: str, failed: bool, slow: bool
+    ) -> None:
+        """Counts a whole answer."""
+        evidence = self.counts.setdefault(route, RouteEvidence())
+        is_target = version == self.order.target
+        tally = evidence.target if is_target else evidence.others
+        tally.answers += 1
+        tally.failures += failed
+        tally.slow += slow
+
+    def has_local_doubt(self) -> bool:
+        """Returns whether this host's own counts suffice to stop a trial."""
+        return any(is_bad(route) for route in self.counts.values())
+
+
+class RolloutBook:
+    """All roll-outs, and which versions of a service may get a request.
+
+    Attributes:
+        progress: Newest roll-out by service.
+        withdrawn: Versions that were reverted, by service.
+    """
+
+    def __init__(self) -> None:
+        self.progress: dict[str, Progress] = {}
+        self.withdrawn: dict[str, set[str]] = {}
+        self._phases: dict[tuple[str, str], PhaseRecord] = {}
+
+    def take_order(self, order: Order, now: float) -> bool:
+        """Takes an order; returns whether it is news."""
+        known = self.progress.get(order.service)
+        if known is not None and known.order.number >= order.number:
+            return False
+        self.progress[order.service] = Progress(order, now)
+        record = self._phases.get((order.service, order.target))
+        if record is not None:
+            self.take_phase(record)
+        return True
+
+    def take_phase(self, record: PhaseRecord) -> bool:
+        """Takes a phase from the store; returns whether it is news."""
+        key = (record.service, record.target)
+        known = self._phases.get(key)
+        self._phases[key] = record
+        self._note_withdrawn(record)
+        progress = self.progress.get(record.service)
+        if progress is not None and progress.order.number == record.number:
+            progress.phase = record.phase
+        return known != record
+
+    def phase_of(self, service: str, target: str) -> PhaseRecord | None:
+        """Returns the newest phase of a version's roll-out."""
+        return self._phases.get((service, target))
+
+    def _note_withdrawn(self, record: PhaseRecord) -> None:
+        withdrawn = self.withdrawn.setdefault(record.service, set())
+        if record.phase is Phase.REVERTED:
+            withdrawn.add(record.target)
+        else:
+            withdrawn.discard(record.target)
+
+    def choose(
+        self, service: str, versions: set[str], has_session: bool
+    ) -> set[str]:
+        """Returns the versions that the next request for a service may use.
+
+        Args:
+            service: The service.
+            versions: Versions that its servers have.
+            has_session: Whether the request belongs to a session, which
+                keeps its version while a trial runs.
+        """
+        open_to = versions - self.withdrawn.get(service, set())
+        progress = self.progress.get(service)
+        if progress is None:
+            return open_to
+        target = {progress.order.target}
+        if progress.phase is Phase.REVERTED:
+            return open_to - target
+        if progress.phase is Phase.TRIAL:
+            if self._gives_trial(progress, versions, has_session):
+                return target
+            return open_to - target
+        return target & versions or open_to
+
+    def _gives_trial(
+        self, progress: Progress, versions: set[str], has_session: bool
+    ) -> bool:
+        if has_session or progress.order.target not in versions:
+            return False
+        if progress.has_local_doubt():
+            return False
+        return progress.sent_target < TRIAL_SHARE * progress.sent
+
+    def note_sent(self, service: str, version: str) -> None:
+        """Counts a request that goes to a server of ``version``."""
+        progress = self.progress.get(service)
+        if progress is None:
+            return
+        progress.sent += 1
+        progress.sent_target += version == progress.order.target
--- /dev/null
+++ b/src/hoistmoor/platform/codec.py
@@ -0,0 +1,169 @@
+"""Translates the platform's records into the product's types and back."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import orjson
+
+from hoistmoor.core import errors
+from hoistmoor.core.relay import configuration
+from hoistmoor.core.relay import fleet
+from hoistmoor.core.relay import rollouts
+
+if TYPE_CHECKING:
+    from hoistmoor.relay import ports
+
+_CONFIGURATION_KEY = "config"
+_ROLLOUT_PREFIX = "rollout/"
+_MS = 1000.0
+
+_KINDS = {
+    "idempotent": configuration.RouteKind.IDEMPOTENT,
+    "non_idempotent": configuration.RouteKind.NON_IDEMPOTENT,
+    "streaming": configuration.RouteKind.STREAM,
+}
+
+_STATES = {
+    rollouts.Phase.TRIAL: "in_progress",
+    rollouts.Phase.SPREAD: "in_progress",
+    rollouts.Phase.COMPLETE: "complete",
+    rollouts.Phase.REVERTED: "reverted",
+}
+
+
+class PlatformCodec:
+    """Reads operators' and servers' records, writes statuses."""
+
+    def configuration(
+        self, record: ports.Record
+    ) -> configuration.Configuration | None:
+        """Returns the configuration, if the record holds one."""
+        if record.key != _CONFIGURATION_KEY:
+            return None
+        return _configuration(_load(record))
+
+    def order(self, record: ports.Record) -> rollouts.Order | None:
+        """Returns the roll-out order, if the record holds one."""
+        if not record.key.startswith(_ROLLOUT_PREFIX):
+            return None
+        fields = _load(record)
+        return rollouts.Order(
+            service=fields["service"],
+            target=fields["target"],  # A version, not an address.
+            duration=float(fields["duration_s"]),
+            number=record.offset,
+        )
+
+    def server(self, record: ports.Record) -> fleet.ServerEntry:
+        """Returns a backend server's entry."""
+        fields = _load(record)
+        try:
+            return fleet.ServerEntry(
+                server_id=record.key,
+                service=fields["service"],
+                address=fields["address"],
+                zone=fields.get("zone", ""),
+                version=fields.get("version", ""),
+                slots=fields.get("slots", 1),
+                is_leaving=fields.get("state", "ready") != "ready",
+                warm_in=fields.get("warmup_left_ms", 0) / _MS,
+                models=tuple(
+                    model["name"] for model in fields.get("models") or ()
+                ),
+            )
+        except (KeyError, TypeError) as error:
+            raise _unreadable(record, error) from error
+
+    def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
+        """Returns key and value of a roll-out's status."""
+        fields = {
+            "service": record.service,
+            "state": _STATES[record.phase],
+            "target": record.target,
+        }
+        return _ROLLOUT_PREFIX + record.service, orjson.dumps(fields)
+
+
+def _load(record: ports.Record) -> dict[str, Any]:
+    try:
+        fields = orjson.loads(record.value or b"")
+    except orjson.JSONDecodeError as error:
+        raise _unreadable(record, error) from error
+    if not isinstance(fields, dict):
+        raise _unreadable(record, TypeError(type(fields)))
+    return fields
+
+
+def _unreadable(record: ports.Record, error: Exception) -> errors.CodecError:
+    return errors.CodecError(
+        f"record {record.offset} of {record.key} cannot be read: {error!r}",
+        "Look at the record in the store.",
+    )
+
+
+def _configuration(fields: dict[str, Any]) -> configuration.Configuration:
+    return configuration.Configuration(
+        revision=fields["version"],
+        routes=tuple(_route(each) for each in fields["routes"]),
+        services={each["name"]: _service(each) for each in fields["services"]},
+        accounts=tuple(_account(each) for each in fields.get("tenants") or ()),
+        limits=_limits(fields.get("limits") or {}),
+    )
+
+
+def _route(fields: dict[str, Any]) -> configuration.Route:
+    return configuration.Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        prefix=fields["path_prefix"],
+        kind=_KINDS[fields["kind"]],
+        timeout=fields["timeout_ms"] / _MS,
+        target=fields["target_latency_ms"] / _MS,
+        priority=fields.get("priority", 0),
+        max_attempts=fields.get("max_attempts", 1),
+        anonymous=fields.get("anonymous", False),
+        resumable=fields.get("resumable", False),
+        longest_pause=(fields.get("itl_target_ms") or 0) / _MS,
+        sizes=tuple(fields.get("sizes") or ()),
+        shares=_shares(fields),
+    )
+
+
+def _shares(fields: dict[str, Any]) -> tuple[configuration.ServiceShare, ...]:
+    weighted = fields.get("weighted_services")
+    if not weighted:
+        return (configuration.ServiceShare(fields["service"], 1.0),)
+    return tuple(
+        configuration.ServiceShare(each["service"], float(each["weight"]))
+        for each in weighted
+    )
+
+
+def _service(fields: dict[str, Any]) -> configuration.Service:
+    engine = fields.get("engine")
+    models = (engine or {}).get("models") or ()
+    return configuration.Service(
+        name=fields["name"],
+        max_connections=fields.get("max_connections", 0),
+        has_engine=bool(engine),
+        model_costs={each["name"]: each["cost"] for each in models},
+    )
+
+
+def _account(fields: dict[str, Any]) -> configuration.ClientAccount:
+    return configuration.ClientAccount(
+        name=fields["name"],
+        keys=frozenset(fields.get("api_keys") or ()),
+        priority=fields.get("priority"),
+    )
+
+
+def _limits(fields: dict[str, Any]) -> configuration.Limits:
+    default = configuration.Limits()
+    return configuration.Limits(
+        header_bytes=fields.get("max_header_bytes", default.header_bytes),
+        body_bytes=fields.get("max_body_bytes", default.body_bytes),
+        idle_timeout=fields.get("idle_timeout_ms", default.idle_timeout * _MS)
+        / _MS,
+    )
--- /dev/null
+++ b/src/hoistmoor/platform/main.py
@@ -0,0 +1,49 @@
+"""Starts a relay on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from hoistmoor.core import errors
+from hoistmoor.platform import codec
+from hoistmoor.platform import names
+from hoistmoor.platform import settings as settings_lib
+from hoistmoor.platform import store
+from hoistmoor.relay import application
+from hoistmoor.relay import ports
+
+if TYPE_CHECKING:
+    import aiohttp
+
+SETTINGS_VARIABLE = "HOISTMOOR_CONFIG"
+EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Runs the program; returns its exit code."""
+    try:
+        path = pathlib.Path(os.environ[SETTINGS_VARIABLE])
+        settings = settings_lib.read(path.read_bytes())
+    except (KeyError, OSError, errors.ConfigurationError) as error:
+        print(f"cannot start: {error}", file=sys.stderr)  # noqa: T201
+        return EXIT_USAGE
+
+    def connect(session: aiohttp.ClientSession) -> ports.Platform:
+        return ports.Platform(
+            topics=store.topics(session, settings.store),
+            codec=codec.PlatformCodec(),
+            headers=names.HEADERS,
+            not_run_statuses=names.NOT_RUN_STATUSES,
+        )
+
+    uvloop.run(application.serve(settings.relay, connect))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/hoistmoor/platform/names.py
@@ -0,0 +1,37 @@
+"""Names of headers on the platform."""
+
+from __future__ import annotations
+
+from hoistmoor.relay import header_names
+
+# The server at the address is another one than the request names.
+NOT_RUN_STATUSES = frozenset({421})
+
+HEADERS = header_names.HeaderNames(
+    request_id="Hoistmoor-Request-Id",
+    deadline_ms="Hoistmoor-Deadline-Ms",
+    key_scheme="Token",
+    account="Hoistmoor-Tenant",
+    expected_server="Hoistmoor-Expected-Instance",
+    signature="Hoistmoor-Response-Signature",
+    not_run="Hoistmoor-Not-Executed",
+    load="Hoistmoor-Instance-Load",
+    model="Hoistmoor-Model",
+    tokens="Hoistmoor-Token-Usage",
+    prefix="Hoistmoor-Prefix-Hash",
+    confidence="Hoistmoor-Confidence",
+    urgency="Hoistmoor-Request-Urgency",
+    session="Session",
+    last_event="Last-Event-Id",
+    # Orders to an engine; a caller's own must not reach one.
+    stripped=frozenset(
+        {
+            "hoistmoor-retention",
+            "hoistmoor-pin-ms",
+            "hoistmoor-kv-replica",
+            "hoistmoor-expected-version",
+            "kv-from",
+            "kv-fetch",
+        }
+    ),
+)
--- /dev/null
+++ b/src/hoistmoor/platform/settings.py
@@ -0,0 +1,58 @@
+"""Reads the platform's settings file into the relay's settings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import orjson
+
+from hoistmoor.core import errors
+from hoistmoor.relay import settings as relay_settings
+
+_MS = 1000.0
+
+
+@attrs.frozen
+class PlatformSettings:
+    """What the settings file says.
+
+    Attributes:
+        relay: Settings of the relay.
+        store: ``ip:port`` of the platform's store.
+    """
+
+    relay: relay_settings.RelaySettings
+    store: str
+
+
+def read(data: bytes) -> PlatformSettings:
+    """Returns the settings that a file holds.
+
+    Raises:
+        ConfigurationError: A field is missing or of another type.
+    """
+    try:
+        return _decode(orjson.loads(data))
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.ConfigurationError(
+            f"the settings file cannot be read: {error!r}",
+            "Compare it with deploy/settings.json.",
+        ) from error
+
+
+def _decode(fields: dict[str, Any]) -> PlatformSettings:
+    bounds = fields["bounds"]
+    first_port, _ = fields["internal_port_range"]
+    relay = relay_settings.RelaySettings(
+        host=fields["node_name"],
+        zone=fields["zone"],
+        listen=fields["listen"]["frontend"],
+        ready_listen=fields["listen"]["ready"],
+        metrics_listen=f"{fields['ip']}:{first_port}",
+        revocation=bounds["revoke_ms"] / _MS,
+        stop_timeout=bounds["grace_s"],
+        repeat_ratio=bounds["retry_budget_ratio"],
+        repeat_window=bounds["retry_window_s"],
+    )
+    return PlatformSettings(relay, fields["platform"]["address"])
--- /dev/null
+++ b/src/hoistmoor/platform/store.py
@@ -0,0 +1,164 @@
+"""Calls to the platform's store: keyed topics of one partition."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from typing import Any, TYPE_CHECKING
+
+import orjson
+
+from hoistmoor.clients import replies
+from hoistmoor.core import errors
+from hoistmoor.relay import ports
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    import aiohttp
+
+CALL_TIMEOUT = 1.5  # Seconds; the store answers in about 4 ms.
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")  # End, and first one kept.
+_PARTITION = "0"
+
+
+class StoreTopic:
+    """One keyed topic; stateless but for the session."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, topic: str
+    ) -> None:
+        """Makes the topic.
+
+        Args:
+            session: From ``clients.sessions``; stays the caller's.
+            address: ``ip:port`` of the store.
+            topic: Its name there.
+        """
+        self.topic = topic
+        self._session = session
+        self._base = f"http://{address}/hoistmoor/"
+
+    async def newest(self) -> ports.Batch:
+        """Returns the newest record of each key."""
+        records: list[ports.Record] = []
+        next_offset: int | None = None
+        page: dict[str, Any] = {"has_more": True}
+        while page["has_more"]:
+            more = {"after": records[-1].key} if records else {}
+            page = orjson.loads(await self._read("log-newest", more))
+            records += [_entry(each) for each in page["entries"]]
+            # Pages are no snapshot: what changed since the first is read
+            # again.
+            if next_offset is None:
+                next_offset = page["end_offset"]
+        assert next_offset is not None
+        return ports.Batch(tuple(records), next_offset, is_snapshot=True)
+
+    async def changes(self, offset: int, wait: float) -> ports.Batch:
+        """Returns the records from ``offset`` on."""
+        query = {"source": str(offset), "wait_ms": str(int(wait * 1000))}
+        data = await self._read("log-read", query, wait)
+        end, first = _OFFSETS.unpack_from(data)
+        if end < offset:
+            raise errors.LogOffsetExpiredError(self.topic, offset, first)
+        records = tuple(_records(data[_OFFSETS.size :], offset))
+        return ports.Batch(records, offset + len(records))
+
+    async def put(
+        self, key: str, value: bytes, expected_offset: int | None = None
+    ) -> int | None:
+        """Adds a record; see ``ports.KeyedTopic``."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        query = {}
+        if expected_offset is not None:
+            query["expected_offset"] = str(expected_offset)
+        status, body = await self._call(
+            "POST",
+            "log-append",
+            query,
+            _LENGTH.pack(len(content)) + content,
+        )
+        if status == 412:
+            return None
+        if status != 200:
+            raise self._refused("log-append", status)
+        end: int = orjson.loads(body)["end_offset"]
+        return end
+
+    async def _read(
+        self, call: str, query: dict[str, str], wait: float = 0.0
+    ) -> bytes:
+        status, body = await self._call("GET", call, query, b"", wait)
+        if status == 410:
+            first = orjson.loads(body)["start_offset"]
+            wanted = int(query.get("source", 0))
+            raise errors.LogOffsetExpiredError(self.topic, wanted, first)
+        if status != 200:
+            raise self._refused(call, status)
+        return body
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        body: bytes,
+        wait: float = 0.0,
+    ) -> tuple[int, bytes]:
+        try:
+            async with self._session.request(
+                method,
+                self._base + call,
+                params={"topic": self.topic, "part": _PARTITION, **query},
+                data=body or None,
+                timeout=replies.timeout_of(CALL_TIMEOUT + wait),
+            ) as reply:
+                return reply.status, await reply.read()
+        except replies.TRANSPORT_ERRORS as error:
+            raise errors.LogOutcomeUnknownError(
+                f"the store gave no answer to {call}: {error!r}",
+                "Read the topic before writing again.",
+            ) from error
+
+    def _refused(self, call: str, status: int) -> errors.LogUnavailableError:
+        return errors.LogUnavailableError(
+            f"the store answered {status} to {call} of {self.topic}",
+            "Wait, then try again.",
+        )
+
+
+def _entry(fields: dict[str, Any]) -> ports.Record:
+    value = fields.get("value")
+    return ports.Record(
+        fields["key"],
+        base64.b64decode(value) if value else None,
+        fields["offset"],
+    )
+
+
+def _records(data: bytes, offset: int) -> Iterator[ports.Record]:
+    at = 0
+    while at < len(data):
+        (length,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        content = data[at : at + length]
+        at += length
+        key_end = 1 + content[0]
+        yield ports.Record(
+            content[1:key_end].decode(), content[key_end:] or None, offset
+        )
+        offset += 1
+
+
+def topics(session: aiohttp.ClientSession, address: str) -> ports.Topics:
+    """Returns the topics of the store at ``address``."""
+    return ports.Topics(
+        operator=StoreTopic(session, address, "keyed.op"),
+        servers=StoreTopic(session, address, "keyed.servers"),
+        status=StoreTopic(session, address, "keyed.status"),
+        phases=StoreTopic(session, address, "keyed.rollout-phases"),
+        evidence=StoreTopic(session, address, "keyed.rollout-evidence"),
+    )
--- /dev/null
+++ b/src/hoistmoor/relay/admission.py
@@ -0,0 +1,159 @@
+"""Checks a caller's request before anything is sent."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
+from hoistmoor.core.relay import requests
+from hoistmoor.relay import header_names
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay import configuration as configuration_lib
+    from hoistmoor.core.routing import hashing
+    from hoistmoor.relay import state as state_lib
+
+DEFAULT_DEADLINE = 60.0  # Seconds, for callers that tell none.
+_MS = 1000.0
+_DRAWS = 1 << 30
+
+
+@attrs.frozen
+class Head:
+    """Head of a caller's request.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as written.
+        host: Value of the Host header.
+        headers: All headers.
+        arrived: Steady time at which it was read.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: Mapping[str, str]
+    arrived: float
+
+    @property
+    def path(self) -> str:
+        """Path without its query."""
+        return self.target.partition("?")[0]
+
+
+class Admission:
+    """Decides which requests are taken."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        names: header_names.HeaderNames,
+        draws: hashing.Draws,
+    ) -> None:
+        self._state = state
+        self._names = names
+        self._draws = draws
+
+    def admit(self, head: Head) -> requests.RelayRequest | refusals.Refusal:
+        """Returns the request as taken, or why it is refused."""
+        if self._state.stopping:
+            return _refuse(refusals.Reason.STOPPING, "this host stops")
+        found = self._state.configuration
+        if found is None:
+            return _refuse(refusals.Reason.NO_TABLE, "no configuration yet")
+        request_id = head.headers.get(self._names.request_id, "")
+        if not request_id:
+            return _refuse(
+                refusals.Reason.BAD_HEADER,
+                f"{self._names.request_id} is missing",
+            )
+        return self._admit_by(found, head, request_id)
+
+    def _admit_by(
+        self,
+        found: configuration_lib.Configuration,
+        head: Head,
+        request_id: str,
+    ) -> requests.RelayRequest | refusals.Refusal:
+        route = found.find_route(head.host, head.path)
+        is_current = self._state.lease.holds(self._state.clock())
+        if route is None:
+            # A newer configuration may have the route.
+            if not is_current:
+                return self._stale()
+            return _refuse(
+                refusals.Reason.UNKNOWN_CALL, "no route has this host and path"
+            )
+        account = ""
+        if found.accounts and not route.anonymous:
+            if not is_current:
+                return self._stale()
+            holder = found.find_account(self._key_of(head))
+            if holder is None:
+                return _refuse(
+                    refusals.Reason.WRONG_KEY, "the key belongs to no account"
+                )
+            account = holder.name
+        return self._take(found, head, request_id, route, account)
+
+    def _stale(self) -> refusals.Refusal:
+        age = self._state.lease.age(self._state.clock())
+        return _refuse(
+            refusals.Reason.TABLE_STALE,
+            f"the configuration was last known current {age:.1f} s ago",
+        )
+
+    def _key_of(self, head: Head) -> str:
+        scheme, _, key = head.headers.get("Authorization", "").partition(" ")
+        return key.strip() if scheme == self._names.key_scheme else ""
+
+    def _take(
+        self,
+        found: configuration_lib.Configuration,
+        head: Head,
+        request_id: str,
+        route: configuration_lib.Route,
+        account: str,
+    ) -> requests.RelayRequest | refusals.Refusal:
+        headers, names = head.headers, self._names
+        allowed = header_names.parse_number(headers.get(names.deadline_ms))
+        patience = DEFAULT_DEADLINE if allowed is None else allowed / _MS
+        if patience <= 0:
+            return _refuse(refusals.Reason.DEADLINE_PAST, "no time is left")
+        caller_deadline = head.arrived + patience
+        prompt = header_names.parse_prompt(
+            headers.get(names.model),
+            headers.get(names.tokens),
+            headers.get(names.prefix),
+        )
+        return requests.RelayRequest(
+            request_id=request_id,
+            route=route,
+            service=self._draw_service(route),
+            account=account,
+            revision=found.revision,
+            arrived=head.arrived,
+            deadline=min(caller_deadline, head.arrived + route.timeout),
+            caller_deadline=caller_deadline,
+            prompt=prompt,
+            session=headers.get(names.session, ""),
+            last_event=header_names.parse_number(headers.get(names.last_event)),
+        )
+
+    def _draw_service(self, route: configuration_lib.Route) -> str:
+        total = sum(share.weight for share in route.shares)
+        point = self._draws.below(_DRAWS) / _DRAWS * total
+        for share in route.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return route.shares[-1].service
+
+
+def _refuse(reason: refusals.Reason, detail: str) -> refusals.Refusal:
+    return refusals.Refusal(reason, outcomes.Outcome.NOT_RUN, detail)
--- /dev/null
+++ b/src/hoistmoor/relay/application.py
@@ -0,0 +1,226 @@
+"""Runs a relay until a stop signal, then stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from hoistmoor.clients import dialect as dialect_lib
+from hoistmoor.clients import sessions
+from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.routing import hashing
+from hoistmoor.relay import admission
+from hoistmoor.relay import counters
+from hoistmoor.relay import event_log
+from hoistmoor.relay import follower
+from hoistmoor.relay import front as front_lib
+from hoistmoor.relay import listeners
+from hoistmoor.relay import relay_task
+from hoistmoor.relay import rollout_task
+from hoistmoor.relay import state as state_lib
+from hoistmoor.utils import listening
+from hoistmoor.utils import signals
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import aiohttp
+
+    from hoistmoor.relay import ports
+    from hoistmoor.relay import settings as settings_lib
+
+# Seconds from the stop signal in which requests are still taken: the balancer
+# asks once a second and needs two refusals.
+TAKE_ON = 2.5
+STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
+# Seconds that a read of the operators' topic may be held back, and the pause
+# after it: together they are the age of a configuration known to be current.
+OPERATOR_WAIT = 1.0
+OPERATOR_PAUSE = 0.05
+# Entries change many times a second; a pause reads several at once.
+SERVERS_WAIT = 1.0
+SERVERS_PAUSE = 0.4
+PHASES_WAIT = 5.0
+PHASES_PAUSE = 0.05
+IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
+UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
+LARGEST_LINE = 16384  # Bytes of one line of a request's head.
+
+
+class Relay:
+    """One relay and its tasks."""
+
+    def __init__(
+        self,
+        settings: settings_lib.RelaySettings,
+        platform: ports.Platform,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Makes a relay; nothing runs yet.
+
+        Args:
+            settings: Its settings.
+            platform: Where it learns what it must know.
+            session: Opens connections to backend servers.
+        """
+        self.settings = settings
+        seed = int.from_bytes(os.urandom(8), "big")
+        draws = hashing.Draws.seeded(seed)
+        clock = time.monotonic
+        bounds = router_lib.Bounds(
+            settings.repeat_ratio,
+            settings.repeat_window,
+            settings.repeat_spare,
+        )
+        self.state = state_lib.RelayState(
+            clock=clock,
+            log=event_log.EventLog(settings.host, clock),
+            counters=counters.Counters(),
+            router=router_lib.Router(settings.zone, bounds, draws),
+            lease=freshness.ConfigurationLease(settings.revocation),
+        )
+        dialect = dialect_lib.Dialect(
+            attempt_header=platform.headers.request_id,
+            not_run_header=platform.headers.not_run,
+            not_run_statuses=platform.not_run_statuses,
+            has_end_mark=False,
+        )
+        self.front = front_lib.Front(
+            self.state,
+            admission.Admission(self.state, platform.headers, draws),
+            relay_task.Links(session, platform.headers, dialect),
+        )
+        self._make_tasks(platform, f"{settings.host}-{seed:016x}")
+
+    def _make_tasks(self, platform: ports.Platform, run_name: str) -> None:
+        state, topics = self.state, platform.topics
+        operator = listeners.OperatorListener(state, platform.codec)
+        servers = listeners.ServerListener(state, platform.codec)
+        phases = follower.TopicFollower(
+            state,
+            "phases",
+            topics.phases,
+            listeners.PhaseListener(state),
+            wait=PHASES_WAIT,
+            pause=PHASES_PAUSE,
+        )
+        self._loops = {
+            "operator": follower.TopicFollower(
+                state,
+                "operator",
+                topics.operator,
+                operator,
+                wait=OPERATOR_WAIT,
+                pause=OPERATOR_PAUSE,
+            ).run,
+            "servers": follower.TopicFollower(
+                state,
+                "servers",
+                topics.servers,
+                servers,
+                wait=SERVERS_WAIT,
+                pause=SERVERS_PAUSE,
+            ).run,
+            "phases": phases.run,
+            "rollouts": rollout_task.RolloutTask(
+                state, topics, platform.codec, run_name, phases
+            ).run,
+        }
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serves until ``stop`` is set, then stops gracefully."""
+        runners = await self._listen()
+        tasks = [
+            asyncio.create_task(loop(), name=name)
+            for name, loop in self._loops.items()
+        ]
+        self.state.log.write("start", listen=self.settings.listen)
+        gc.collect()
+        gc.freeze()  # What a start makes is never garbage; do not scan it.
+        try:
+            stopping = asyncio.create_task(stop.wait())
+            await asyncio.wait(
+                {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in tasks:
+                if task.done():
+                    task.result()
+            await self._stop()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for runner in runners:
+                await runner.cleanup()
+
+    async def _listen(self) -> list[web.ServerRunner]:
+        settings = self.settings
+        pages = {
+            settings.listen: self.front.handle,
+            settings.ready_listen: front_lib.Readiness(self.state).handle,
+        }
+        if settings.metrics_listen:
+            metrics = front_lib.MetricsPage(self.state)
+            pages[settings.metrics_listen] = metrics.handle
+        runners = []
+        for address, handler in pages.items():
+            server = web.Server(
+                handler,
+                handler_cancellation=True,
+                access_log=None,
+                auto_decompress=False,
+                max_line_size=LARGEST_LINE,
+                max_field_size=LARGEST_LINE,
+                keepalive_timeout=3600.0,
+            )
+            runner = web.ServerRunner(server, shutdown_timeout=0.1)
+            await runner.setup()
+            await web.SockSite(runner, listening.bind(address)).start()
+            runners.append(runner)
+        return runners
+
+    async def _stop(self) -> None:
+        """Ends each request with its whole answer while there is time."""
+        state = self.state
+        began = state.clock()
+        state.log.write("stopping", running=len(self.front.running))
+        state.draining = True
+        await asyncio.sleep(TAKE_ON)
+        state.stopping = True
+        end = began + self.settings.stop_timeout - STOP_MARGIN
+        while self.front.running and state.clock() < end:
+            await asyncio.wait(
+                set(self.front.running), timeout=end - state.clock()
+            )
+        state.log.write("stop", left=len(self.front.running))
+
+
+async def serve(
+    settings: settings_lib.RelaySettings,
+    connect: Callable[[aiohttp.ClientSession], ports.Platform],
+) -> None:
+    """Runs a relay until SIGTERM or SIGINT.
+
+    Args:
+        settings: Its settings.
+        connect: Makes the platform on a session for calls to it.
+    """
+    stop = signals.stop_event()
+    async with sessions.make_session(
+        unanswered_timeout=UNANSWERED
+    ) as platform_session:
+        platform = connect(platform_session)
+        async with sessions.make_session(
+            connect_timeout=relay_task.CONNECT_TIMEOUT,
+            total_timeout=None,
+            idle_timeout=IDLE_TO_SERVERS,
+            attempt_header=platform.headers.request_id,
+            unanswered_timeout=UNANSWERED,
+        ) as session:
+            await Relay(settings, platform, session).serve(stop)
--- /dev/null
+++ b/src/hoistmoor/relay/counters.py
@@ -0,0 +1,51 @@
+"""Counters and histograms of the relay, served as text."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0)
+
+
+class Counters:
+    """What the relay counts.
+
+    Attributes:
+        registry: All of them.
+        answers: Requests by how they ended.
+        attempts: Attempts by how their exchange ended.
+        beliefs: Changes of what this host believes, by kind.
+        durations: Seconds from a request to its final answer.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = prometheus_client.Counter(
+            "hoistmoor_relay_answers",
+            "Requests by how they ended.",
+            ["reason", "outcome"],
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "hoistmoor_relay_attempts",
+            "Attempts by the state in which they ended.",
+            ["state"],
+            registry=self.registry,
+        )
+        self.beliefs = prometheus_client.Counter(
+            "hoistmoor_relay_belief_changes",
+            "Changes of what this host believes.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.durations = prometheus_client.Histogram(
+            "hoistmoor_relay_seconds",
+            "Seconds from a request to its final answer.",
+            ["route"],
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+
+    def text(self) -> bytes:
+        """Returns all of them in the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/hoistmoor/relay/follower.py
@@ -0,0 +1,129 @@
+"""Follows one keyed topic: a snapshot first, then each change."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol, TYPE_CHECKING
+
+import attrs
+
+from hoistmoor.core import errors
+from hoistmoor.relay import ports
+
+if TYPE_CHECKING:
+    from hoistmoor.relay import state as state_lib
+
+FIRST_BACKOFF = 0.1  # Seconds after the first failed call.
+LONGEST_BACKOFF = 0.5  # Short, as the lease on the configuration is.
+
+
+@attrs.frozen
+class Update:
+    """A batch, and what is known of the way it came.
+
+    Attributes:
+        batch: The records.
+        sent_at: Steady time at which the read was sent.
+        after_outage: Seconds since the store was heard again; infinite if it
+            has not been away.
+    """
+
+    batch: ports.Batch
+    sent_at: float
+    after_outage: float
+
+
+class Listener(Protocol):
+    """Takes what was read."""
+
+    def __call__(self, update: Update) -> None:
+        """Takes one update."""
+
+
+class TopicFollower:
+    """Reads a topic for ever, and tells a listener.
+
+    Attributes:
+        name: Of the topic, in log lines.
+        next_offset: Where it reads on; None before a snapshot.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        name: str,
+        topic: ports.KeyedTopic,
+        listener: Listener,
+        *,
+        wait: float,
+        pause: float,
+    ) -> None:
+        """Makes a follower.
+
+        Args:
+            state: What the relay knows.
+            name: Of the topic, in log lines.
+            topic: What to read.
+            listener: Told of each batch, the empty ones too.
+            wait: Seconds for which the store may hold a read back.
+            pause: Seconds between two reads; more records come in one then.
+        """
+        self.name = name
+        self.next_offset: int | None = None
+        self._state = state
+        self._topic = topic
+        self._listener = listener
+        self._wait = wait
+        self._pause = pause
+        self._backoff = FIRST_BACKOFF
+        self._lost_at: float | None = None
+        self._regained_at = float("-inf")
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+        while True:
+            try:
+                await self.read_once()
+            except errors.LogOffsetExpiredError as error:
+                self._state.believe(
+                    "topic_expired", topic=self.name, detail=error.problem
+                )
+                self.next_offset = None
+            except errors.HoistmoorError as error:
+                self._note_lost(error)
+                await asyncio.sleep(self._backoff)
+                self._backoff = min(LONGEST_BACKOFF, 2 * self._backoff)
+            else:
+                await asyncio.sleep(self._pause)
+
+    async def read_once(self) -> None:
+        """Reads one batch and tells the listener."""
+        sent_at = self._state.clock()
+        if self.next_offset is None:
+            batch = await self._topic.newest()
+        else:
+            batch = await self._topic.changes(self.next_offset, self._wait)
+        self._note_heard()
+        self.next_offset = batch.next_offset
+        after_outage = self._state.clock() - self._regained_at
+        self._listener(Update(batch, sent_at, after_outage))
+        self._state.topics_read.add(self.name)
+
+    def _note_lost(self, error: errors.HoistmoorError) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._state.clock()
+            self._state.believe(
+                "store_lost", topic=self.name, detail=error.problem
+            )
+
+    def _note_heard(self) -> None:
+        self._backoff = FIRST_BACKOFF
+        if self._lost_at is None:
+            return
+        now = self._state.clock()
+        away = now - self._lost_at
+        self._lost_at = None
+        self._regained_at = now
+        self._state.believe(
+            "store_regained", topic=self.name, away=round(away, 3)
+        )
--- /dev/null
+++ b/src/hoistmoor/relay/front.py
@@ -0,0 +1,158 @@
+"""Reads callers' requests and answers the balancer's question."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TYPE_CHECKING
+
+from aiohttp import web
+
+from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
+from hoistmoor.relay import admission as admission_lib
+from hoistmoor.relay import caller_answer
+from hoistmoor.relay import relay_task
+
+if TYPE_CHECKING:
+    from hoistmoor.relay import state as state_lib
+
+
+class BodyTooLargeError(Exception):
+    """A body exceeds its bound."""
+
+
+class Front:
+    """Serves callers.
+
+    Attributes:
+        running: Requests under way.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        admission: admission_lib.Admission,
+        links: relay_task.Links,
+    ) -> None:
+        self.running: set[asyncio.Task[Any]] = set()
+        self._state = state
+        self._admission = admission
+        self._links = links
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        task = asyncio.current_task()
+        assert task is not None
+        self.running.add(task)
+        try:
+            return await self._handle(request)
+        finally:
+            self.running.discard(task)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        head = admission_lib.Head(
+            method=request.method,
+            target=request.raw_path,
+            host=request.headers.get("Host", ""),
+            headers=request.headers,
+            arrived=self._state.clock(),
+        )
+        answer = caller_answer.CallerAnswer(
+            request, keep_open=not self._state.draining
+        )
+        admitted = self._admission.admit(head)
+        if isinstance(admitted, refusals.Refusal):
+            await self._skip_body(request)
+            return await self._refuse(head, answer, admitted)
+        try:
+            body = await self._read_body(request)
+        except BodyTooLargeError as error:
+            refusal = refusals.Refusal(
+                refusals.Reason.BODY_TOO_LARGE,
+                outcomes.Outcome.NOT_RUN,
+                str(error),
+            )
+            return await self._refuse(head, answer, refusal)
+        self._state.router.note_request(admitted, self._state.clock())
+        task = relay_task.RelayTask(
+            self._state, self._links, head, admitted, body, answer
+        )
+        return await task.run()
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Reads a body within its bound."""
+        if "100-continue" in request.headers.get("Expect", "").lower():
+            assert request.transport is not None
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if not request.can_read_body:
+            return b""
+        assert self._state.configuration is not None
+        bound = self._state.configuration.limits.body_bytes
+        parts = []
+        size = 0
+        async for data in request.content.iter_any():
+            size += len(data)
+            if size > bound:
+                raise BodyTooLargeError(f"a body may have {bound} bytes")
+            parts.append(data)
+        return b"".join(parts)
+
+    async def _skip_body(self, request: web.BaseRequest) -> None:
+        """Reads a refused request to its end, so that its caller can hear."""
+        async for _ in request.content.iter_any():
+            pass
+
+    async def _refuse(
+        self,
+        head: admission_lib.Head,
+        answer: caller_answer.CallerAnswer,
+        refusal: refusals.Refusal,
+    ) -> web.StreamResponse:
+        names = self._links.names
+        self._state.counters.answers.labels(
+            refusal.reason.value, refusal.outcome.value
+        ).inc()
+        self._state.log.write(
+            "refused",
+            id=head.headers.get(names.request_id, ""),
+            path=head.path,
+            reason=refusal.reason.value,
+            outcome=refusal.outcome.value,
+            detail=refusal.detail,
+            age=round(self._state.lease.age(self._state.clock()), 3),
+        )
+        return await answer.refuse(refusal)
+
+
+class Readiness:
+    """Answers the balancer: whether callers should be sent here."""
+
+    def __init__(self, state: state_lib.RelayState) -> None:
+        self._state = state
+        self._was_ready: bool | None = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers 200 or 503, whatever the path."""
+        is_ready = self._state.is_ready()
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            self._state.believe(
+                "readiness",
+                ready=is_ready,
+                age=round(self._state.lease.age(self._state.clock()), 3),
+                read=sorted(self._state.topics_read),
+            )
+        return web.Response(status=200 if is_ready else 503)
+
+
+class MetricsPage:
+    """Serves counters and histograms."""
+
+    def __init__(self, state: state_lib.RelayState) -> None:
+        self._state = state
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers with the text of all counters."""
+        return web.Response(
+            body=self._state.counters.text(), content_type="text/plain"
+        )
--- /dev/null
+++ b/src/hoistmoor/relay/listeners.py
@@ -0,0 +1,188 @@
+"""Takes what the platform's topics say into what the relay knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import orjson
+
+from hoistmoor.core import errors
+from hoistmoor.core.relay import fleet as fleet_lib
+from hoistmoor.core.relay import rollouts
+from hoistmoor.relay import rollout_codec
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay import configuration
+    from hoistmoor.relay import follower
+    from hoistmoor.relay import ports
+    from hoistmoor.relay import state as state_lib
+
+
+class OperatorListener:
+    """Takes configurations and roll-out orders."""
+
+    def __init__(self, state: state_lib.RelayState, codec: ports.Codec) -> None:
+        self._state = state
+        self._codec = codec
+
+    def __call__(self, update: follower.Update) -> None:
+        """Takes one update; each proves the configuration current."""
+        for record in update.batch.records:
+            self._take(record)
+        if self._state.configuration is not None:
+            self._state.lease.prove(update.sent_at)
+
+    def _take(self, record: ports.Record) -> None:
+        if record.value is None:
+            return
+        found = self._codec.configuration(record)
+        if found is not None:
+            self._take_configuration(found)
+            return
+        order = self._codec.order(record)
+        if order is None:
+            return
+        if self._state.router.rollouts.take_order(order, self._state.clock()):
+            self._state.believe(
+                "rollout_ordered",
+                service=order.service,
+                target=order.target,
+                number=order.number,
+                duration=order.duration,
+            )
+
+    def _take_configuration(self, found: configuration.Configuration) -> None:
+        known = self._state.configuration
+        # A store that was rewound must not bring back what was replaced.
+        if known is not None and found.revision <= known.revision:
+            return
+        self._state.configuration = found
+        self._state.believe(
+            "configuration",
+            revision=found.revision,
+            before=known.revision if known else None,
+            routes=len(found.routes),
+        )
+
+
+class ServerListener:
+    """Takes the entries of backend servers."""
+
+    def __init__(self, state: state_lib.RelayState, codec: ports.Codec) -> None:
+        self._state = state
+        self._codec = codec
+
+    def __call__(self, update: follower.Update) -> None:
+        """Takes one update."""
+        in_doubt = update.after_outage <= fleet_lib.LAPSE_GRACE
+        for record in update.batch.records:
+            if record.value is None:
+                self._remove(record.key, in_doubt)
+            else:
+                self._put(record)
+        if update.batch.is_snapshot:
+            self._remove_unlisted(update.batch, in_doubt)
+        for server_id in self._fleet.drop_lapsed(self._state.clock()):
+            self._state.believe("server_gone", server=server_id, why="lapsed")
+
+    @property
+    def _fleet(self) -> fleet_lib.Fleet:
+        return self._state.router.fleet
+
+    def _put(self, record: ports.Record) -> None:
+        try:
+            entry = self._codec.server(record)
+        except errors.CodecError as error:
+            self._state.log.write(
+                "server_unreadable", server=record.key, detail=error.problem
+            )
+            return
+        if self._fleet.put(entry):
+            self._state.believe(
+                "server",
+                server=entry.server_id,
+                service=entry.service,
+                version=entry.version,
+                address=entry.address,
+                leaving=entry.is_leaving,
+                offset=record.offset,
+            )
+
+    def _remove(self, server_id: str, in_doubt: bool) -> None:
+        if in_doubt:
+            self._fleet.lapse(server_id, self._state.clock())
+            return
+        if self._fleet.remove(server_id):
+            self._state.believe("server_gone", server=server_id, why="removed")
+
+    def _remove_unlisted(self, batch: ports.Batch, in_doubt: bool) -> None:
+        listed = {record.key for record in batch.records}
+        for each in self._fleet:
+            if each.entry.server_id not in listed:
+                self._remove(each.entry.server_id, in_doubt)
+
+
+class PhaseListener:
+    """Takes the phases of roll-outs."""
+
+    def __init__(self, state: state_lib.RelayState) -> None:
+        self._state = state
+
+    def __call__(self, update: follower.Update) -> None:
+        """Takes one update."""
+        for record in update.batch.records:
+            if record.value is None:
+                continue
+            phase = rollout_codec.decode_phase(record.value)
+            if self._state.router.rollouts.take_phase(phase):
+                self._state.believe(
+                    "rollout_phase",
+                    service=phase.service,
+                    target=phase.target,
+                    number=phase.number,
+                    phase=phase.phase.value,
+                    offset=record.offset,
+                )
+
+
+class EvidenceListener:
+    """Keeps the newest counts of each host.
+
+    Attributes:
+        newest: Counts by key, and when they were read.
+    """
+
+    def __init__(self, state: state_lib.RelayState) -> None:
+        self.newest: dict[str, tuple[rollouts.Evidence, float]] = {}
+        self._state = state
+
+    def __call__(self, update: follower.Update) -> None:
+        """Takes one update."""
+        for record in update.batch.records:
+            if record.value is None:
+                continue
+            try:
+                evidence = rollout_codec.decode_evidence(record.value)
+            except (ValueError, orjson.JSONDecodeError) as error:
+                self._state.log.write("evidence_unreadable", detail=str(error))
+                continue
+            self.newest[record.key] = (evidence, self._state.clock())
+
+    def of(self, order: rollouts.Order) -> list[rollouts.Evidence]:
+        """Returns the counts of all hosts in one roll-out."""
+        return [
+            evidence
+            for evidence, _ in self.newest.values()
+            if evidence.service == order.service
+            and evidence.number == order.number
+        ]
+
+    def live_hosts(self, order: rollouts.Order) -> list[str]:
+        """Returns the hosts that have lately told their counts."""
+        now = self._state.clock()
+        return [
+            evidence.host
+            for evidence, at in self.newest.values()
+            if evidence.number == order.number
+            and now - at < rollouts.ACTOR_LIFE
+        ]
--- /dev/null
+++ b/src/hoistmoor/relay/ports.py
@@ -0,0 +1,125 @@
+"""What the relay needs of a platform: keyed topics, and how to read them."""
+
+from __future__ import annotations
+
+from typing import Protocol, TYPE_CHECKING
+
+import attrs
+
+from hoistmoor.relay import header_names
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay import configuration
+    from hoistmoor.core.relay import fleet
+    from hoistmoor.core.relay import rollouts
+
+
+@attrs.frozen
+class Record:
+    """One record of a keyed topic.
+
+    Attributes:
+        key: What it is about.
+        value: Its content; None if the key was dropped.
+        offset: Its place in the topic.
+    """
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@attrs.frozen
+class Batch:
+    """Records that were read together.
+
+    Attributes:
+        records: In order.
+        next_offset: Where to read on.
+        is_snapshot: Whether keys that are not in it do not exist.
+    """
+
+    records: tuple[Record, ...]
+    next_offset: int
+    is_snapshot: bool = False
+
+
+class KeyedTopic(Protocol):
+    """A topic whose newest record of each key is kept for ever.
+
+    Calls raise subclasses of ``errors.PlatformError``.
+    """
+
+    async def newest(self) -> Batch:
+        """Returns the newest record of each key."""
+
+    async def changes(self, offset: int, wait: float) -> Batch:
+        """Returns the records from ``offset`` on; waits for the first.
+
+        Raises:
+            LogOffsetExpiredError: They are not kept any more.
+        """
+
+    async def put(
+        self, key: str, value: bytes, expected_offset: int | None = None
+    ) -> int | None:
+        """Adds a record.
+
+        Args:
+            key: What it is about.
+            value: Its content.
+            expected_offset: Add it only if the topic ends there.
+
+        Returns:
+            The offset after it, or None if the topic had gone on.
+        """
+
+
+@attrs.frozen
+class Topics:
+    """The topics that the relay uses.
+
+    Attributes:
+        operator: Configuration and orders, written by operators.
+        servers: Entries of backend servers, written by themselves.
+        status: What operators read of roll-outs.
+        phases: Phases of roll-outs; the relay's own.
+        evidence: Counts of answers in roll-outs; the relay's own.
+    """
+
+    operator: KeyedTopic
+    servers: KeyedTopic
+    status: KeyedTopic
+    phases: KeyedTopic
+    evidence: KeyedTopic
+
+
+class Codec(Protocol):
+    """Translates what a platform writes and reads.
+
+    Decoders raise ``errors.CodecError`` for what they cannot read.
+    """
+
+    def configuration(
+        self, record: Record
+    ) -> configuration.Configuration | None:
+        """Returns the configuration that an operator's record holds, if so."""
+
+    def order(self, record: Record) -> rollouts.Order | None:
+        """Returns the roll-out order that an operator's record holds."""
+
+    def server(self, record: Record) -> fleet.ServerEntry:
+        """Returns a backend server's entry."""
+
+    def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
+        """Returns key and value of a roll-out's status."""
+
+
+@attrs.frozen
+class Platform:
+    """One platform, as the relay sees it."""
+
+    topics: Topics
+    codec: Codec
+    headers: header_names.HeaderNames
+    not_run_statuses: frozenset[int]
--- /dev/null
+++ b/src/hoistmoor/relay/relay_task.py
@@ -0,0 +1,322 @@
+"""Carries one admitted request: attempts, one after the other, to its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from hoistmoor.clients import dialect as dialect_lib
+from hoistmoor.clients import exchange as exchange_lib
+from hoistmoor.clients import exchange_errors
+from hoistmoor.core import outcomes
+from hoistmoor.core.relay import configuration
+from hoistmoor.core.relay import machine as machine_lib
+from hoistmoor.core.relay import messages
+from hoistmoor.core.relay import pace
+from hoistmoor.core.relay import streams
+from hoistmoor.relay import forwarding
+from hoistmoor.relay import header_names
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from hoistmoor.core.relay import requests
+    from hoistmoor.relay import admission
+    from hoistmoor.relay import caller_answer
+    from hoistmoor.relay import state as state_lib
+
+_State = outcomes.ExchangeState
+
+CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
+
+
+@attrs.frozen
+class Links:
+    """How servers are reached.
+
+    Attributes:
+        session: Opens connections to them.
+        names: What headers are called.
+        dialect: How servers name an attempt and decline it.
+    """
+
+    session: aiohttp.ClientSession
+    names: header_names.HeaderNames
+    dialect: dialect_lib.Dialect
+
+
+@attrs.define
+class _Attempt:
+    send: messages.Send
+    started: float
+    exchange: exchange_lib.Exchange
+    head: exchange_lib.Head | None = None
+    first: float | None = None
+    events_before: int = 0
+    body: list[bytes] = attrs.field(factory=list)
+    is_dropped: bool = False
+    detail: str = ""
+
+
+class RelayTask:
+    """One request at this host."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        links: Links,
+        head: admission.Head,
+        request: requests.RelayRequest,
+        body: bytes,
+        answer: caller_answer.CallerAnswer,
+    ) -> None:
+        self._state = state
+        self._links = links
+        self._head = head
+        self._request = request
+        self._body = body
+        self._answer = answer
+        self._machine = machine_lib.RelayMachine(request, state.router)
+        self._sequence = streams.EventSequence(last_id=request.last_event)
+        self._kept: _Attempt | None = None
+        self._is_stream = request.route.kind is configuration.RouteKind.STREAM
+        self._trail: list[str] = []
+
+    async def run(self) -> web.StreamResponse:
+        """Returns the final answer, sent."""
+        effect = self._machine.handle(messages.Started(), self._now())
+        while isinstance(effect, messages.Send):
+            effect = await self._attempt(effect)
+        response = await self._finish(effect)
+        self._note_end(effect)
+        return response
+
+    def _now(self) -> float:
+        return self._state.clock()
+
+    async def _finish(self, effect: messages.Effect) -> web.StreamResponse:
+        if isinstance(effect, messages.Deliver):
+            if self._answer.response is not None:
+                return await self._answer.end()
+            assert self._kept is not None
+            assert self._kept.head is not None
+            return await self._answer.deliver(
+                self._kept.head, b"".join(self._kept.body)
+            )
+        if isinstance(effect, messages.Refuse):
+            return await self._answer.refuse(effect.refusal)
+        return self._answer.cut()
+
+    async def _attempt(self, send: messages.Send) -> messages.Effect:
+        """Makes one attempt; returns what to do next."""
+        attempt = self._open(send)
+        outcome = pace.AttemptOutcome.LEFT
+        try:
+            state = await self._exchange(attempt)
+            outcome = _outcome_of(state, attempt)
+        finally:
+            attempt.exchange.cancel()
+            self._state.router.note_ended(send.server, outcome, self._now())
+        self._note_attempt(attempt, state)
+        if self._is_over(state):
+            return self._machine.handle(messages.DeadlineReached(), self._now())
+        self._kept = attempt
+        status = attempt.head.status if attempt.head else 0
+        return self._machine.handle(
+            messages.AttemptEnded(state, status, attempt.detail), self._now()
+        )
+
+    def _is_over(self, state: outcomes.ExchangeState) -> bool:
+        if state is _State.ANSWERED:
+            return False
+        if outcomes.OUTCOME_BY_STATE[state] is outcomes.Outcome.UNKNOWN:
+            self._machine.may_have_run = True
+        return self._now() >= self._request.deadline
+
+    def _open(self, send: messages.Send) -> _Attempt:
+        now = self._now()
+        last_event = self._sequence.last_id if self._is_stream else None
+        request = exchange_lib.BackendRequest(
+            method=self._head.method,
+            url=f"http://{send.server.entry.address}{self._head.target}",
+            attempt_id=self._request.request_id,
+            headers=forwarding.to_server(
+                self._head.headers,
+                self._links.names,
+                self._request,
+                send,
+                last_event,
+                now,
+            ),
+            body=self._body,
+        )
+        exchange = exchange_lib.Exchange(
+            self._links.session,
+            request,
+            exchange_lib.Timeouts(
+                total=max(0.0, send.deadline - now),
+                connect=CONNECT_TIMEOUT,
+                silence=send.patience,
+            ),
+            self._links.dialect,
+        )
+        self._sequence.begin_run()
+        return _Attempt(
+            send, now, exchange, events_before=self._sequence.events
+        )
+
+    async def _exchange(self, attempt: _Attempt) -> outcomes.ExchangeState:
+        """Returns how far the exchange had come when it ended."""
+        try:
+            async for part in attempt.exchange:
+                await self._take(attempt, part)
+                if attempt.is_dropped:
+                    return _State.ANSWERING
+        except (
+            exchange_errors.ExchangeError,
+            streams.StreamOrderError,
+        ) as error:
+            attempt.detail = error.problem
+            state = attempt.exchange.state
+            return _State.ANSWERING if state is _State.ANSWERED else state
+        return attempt.exchange.state
+
+    async def _take(self, attempt: _Attempt, part: exchange_lib.Part) -> None:
+        if isinstance(part, exchange_lib.Head):
+            await self._take_head(attempt, part)
+        elif isinstance(part, exchange_lib.Frame):
+            await self._take_data(attempt, part.data)
+        elif self._passes(attempt) and self._sequence.has_partial:
+            raise streams.StreamOrderError(
+                "a stream ended within an event",
+                "Ask another backend server for the rest.",
+            )
+
+    async def _take_head(
+        self, attempt: _Attempt, head: exchange_lib.Head
+    ) -> None:
+        names = self._links.names
+        report = header_names.parse_load(head.headers.get(names.load))
+        if report is not None:
+            attempt.send.server.take_report(report, self._now())
+        if attempt.exchange.state is _State.DECLINED:
+            attempt.detail = f"declined with {head.status}"
+            attempt.head = head
+            return
+        self._check_genuine(head)
+        attempt.head = head
+        confidence = header_names.parse_confidence(
+            head.headers.get(names.confidence)
+        )
+        effect = self._machine.handle(
+            messages.HeadArrived(head.status, confidence), self._now()
+        )
+        if isinstance(effect, messages.Drop):
+            attempt.is_dropped = True
+            attempt.detail = f"confidence {confidence}"
+
+    def _check_genuine(self, head: exchange_lib.Head) -> None:
+        """Checks that an answer's bytes are those that the server made."""
+        encoding = head.headers.get("Content-Encoding", "identity")
+        signed = self._links.names.signature in head.headers
+        if encoding == "identity" and (signed or head.status >= 300):
+            return
+        raise streams.StreamOrderError(
+            "the answer is not what the server made",
+            "Ask another backend server.",
+        )
+
+    def _passes(self, attempt: _Attempt) -> bool:
+        """Returns whether an answer goes to the caller as it comes."""
+        head = attempt.head
+        return self._is_stream and head is not None and head.status < 300
+
+    async def _take_data(self, attempt: _Attempt, data: bytes) -> None:
+        if not self._passes(attempt):
+            attempt.body.append(data)
+            return
+        events = self._sequence.feed(data)
+        if not events:
+            return
+        if attempt.first is None:
+            attempt.first = self._now()
+        if self._answer.response is None:
+            assert attempt.head is not None
+            await self._answer.begin(attempt.head)
+            self._machine.note_begun()
+        await self._answer.write(events)
+
+    def _note_attempt(
+        self, attempt: _Attempt, state: outcomes.ExchangeState
+    ) -> None:
+        self._state.counters.attempts.labels(state.name.lower()).inc()
+        status = attempt.head.status if attempt.head else 0
+        entry = attempt.send.server.entry
+        self._trail.append(
+            f"{entry.server_id} {entry.version} {attempt.send.model}"
+            f" {state.name.lower()} {status}"
+            f" {self._now() - attempt.started:.3f}s {attempt.detail}"
+        )
+        if state is not _State.ANSWERED:
+            return
+        first = attempt.first or self._now()
+        measured = pace.Measured(
+            attempt.send.model,
+            first - attempt.started,
+            self._now() - attempt.started,
+            self._sequence.events - attempt.events_before,
+            status >= 500,
+        )
+        self._state.router.note_answer(
+            self._request, attempt.send.server, measured
+        )
+
+    def _note_end(self, effect: messages.Effect) -> None:
+        reason, outcome = _ending(effect)
+        took = self._now() - self._request.arrived
+        route = self._request.route
+        self._state.counters.answers.labels(reason, outcome).inc()
+        self._state.counters.durations.labels(route.name).observe(took)
+        is_plain = reason == "delivered" and len(self._trail) == 1
+        if is_plain and took <= route.target:
+            return
+        self._state.log.write(
+            "request",
+            id=self._request.request_id,
+            route=route.name,
+            service=self._request.service,
+            account=self._request.account,
+            revision=self._request.revision,
+            age=round(self._state.lease.age(self._now()), 3),
+            took=round(took, 3),
+            reason=reason,
+            outcome=outcome,
+            attempts=self._trail,
+        )
+
+
+def _ending(effect: messages.Effect) -> tuple[str, str]:
+    """Returns reason and outcome, for logs and metrics."""
+    if isinstance(effect, messages.Refuse):
+        return effect.refusal.reason.value, effect.refusal.outcome.value
+    if isinstance(effect, messages.Break):
+        return "broken_off", outcomes.Outcome.UNKNOWN.value
+    return "delivered", outcomes.Outcome.DONE.value
+
+
+def _outcome_of(
+    state: outcomes.ExchangeState, attempt: _Attempt
+) -> pace.AttemptOutcome:
+    if attempt.is_dropped:
+        return pace.AttemptOutcome.WELL
+    if state is _State.DECLINED:
+        return pace.AttemptOutcome.FULL
+    if state is _State.ANSWERED:
+        assert attempt.head is not None
+        failed = attempt.head.status >= 500
+        return (
+            pace.AttemptOutcome.FAILED if failed else pace.AttemptOutcome.WELL
+        )
+    return pace.AttemptOutcome.FAILED
--- /dev/null
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -0,0 +1,181 @@
+"""Tells this host's counts in roll-outs, and writes phases in its turn."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoistmoor.core import errors
+from hoistmoor.core.relay import rollouts
+from hoistmoor.relay import follower as follower_lib
+from hoistmoor.relay import listeners
+from hoistmoor.relay import rollout_codec
+
+if TYPE_CHECKING:
+    from hoistmoor.relay import ports
+    from hoistmoor.relay import state as state_lib
+
+PERIOD = 0.5  # Seconds between two looks; a roll-back has five.
+TELL_EVERY = 1.0  # Seconds between two tellings of this host's counts.
+
+
+class RolloutTask:
+    """Takes part in the roll-outs of all services."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        topics: ports.Topics,
+        codec: ports.Codec,
+        run_name: str,
+        phases: follower_lib.TopicFollower,
+    ) -> None:
+        """Makes the task.
+
+        Args:
+            state: What the relay knows.
+            topics: Where records are read and written.
+            codec: Translates the status.
+            run_name: Name of this run of this host; no other has it.
+            phases: Reads the phases; tells where that topic ends.
+        """
+        self._state = state
+        self._topics = topics
+        self._codec = codec
+        self._run_name = run_name
+        self._phases = phases
+        self._heard = listeners.EvidenceListener(state)
+        self._evidence = follower_lib.TopicFollower(
+            state, "evidence", topics.evidence, self._heard, wait=0.0, pause=0.0
+        )
+        self._due_since: dict[rollouts.PhaseRecord, float] = {}
+        self._told: dict[str, rollouts.Evidence] = {}
+        self._told_at = float("-inf")
+        self._status_written: dict[str, rollouts.PhaseRecord] = {}
+
+    async def run(self) -> None:
+        """Looks at all roll-outs until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD)
+            active = [
+                progress
+                for progress in self._state.router.rollouts.progress.values()
+                if not self._is_settled(progress)
+            ]
+            if not active:
+                continue
+            try:
+                await self._look(active)
+            except errors.LogOffsetExpiredError:
+                self._evidence.next_offset = None
+            except errors.HoistmoorError as error:
+                self._state.log.write("rollout_waits", detail=error.problem)
+
+    def _is_settled(self, progress: rollouts.Progress) -> bool:
+        written = self._status_written.get(progress.order.service)
+        return (
+            progress.phase.is_final
+            and written is not None
+            and written == self._record(progress, progress.phase)
+        )
+
+    def _record(
+        self, progress: rollouts.Progress, phase: rollouts.Phase
+    ) -> rollouts.PhaseRecord:
+        order = progress.order
+        return rollouts.PhaseRecord(
+            order.service, order.target, order.number, phase
+        )
+
+    async def _look(self, active: list[rollouts.Progress]) -> None:
+        now = self._state.clock()
+        if now - self._told_at >= TELL_EVERY:
+            self._told_at = now
+            for progress in active:
+                await self._tell(progress)
+        await self._evidence.read_once()
+        for progress in active:
+            await self._advance(progress)
+            await self._write_status(progress)
+
+    async def _tell(self, progress: rollouts.Progress) -> None:
+        order = progress.order
+        evidence = rollouts.Evidence(
+            order.service, order.number, self._run_name, progress.counts
+        )
+        data = rollout_codec.encode(evidence)
+        await self._topics.evidence.put(
+            f"{order.service}/{self._run_name}", data
+        )
+
+    async def _advance(self, progress: rollouts.Progress) -> None:
+        order = progress.order
+        pooled = rollouts.pool(self._heard.of(order))
+        elapsed = progress.elapsed(self._state.clock())
+        phase = rollouts.next_phase(progress.phase, pooled, elapsed)
+        if phase is None or not self._is_my_turn(progress, phase):
+            return
+        record = self._record(progress, phase)
+        put = await self._topics.phases.put(
+            f"{order.service}/{order.target}",
+            rollout_codec.encode(record),
+            self._phases.next_offset,
+        )
+        self._state.believe(
+            "rollout_decided",
+            service=order.service,
+            target=order.target,
+            number=order.number,
+            phase=phase.value,
+            elapsed=round(elapsed, 3),
+            counts=pooled_text(pooled),
+            written=put is not None,
+        )
+        if put is not None:
+            self._state.router.rollouts.take_phase(record)
+
+    def _is_my_turn(
+        self, progress: rollouts.Progress, phase: rollouts.Phase
+    ) -> bool:
+        order = progress.order
+        now = self._state.clock()
+        record = self._record(progress, phase)
+        since = self._due_since.setdefault(record, now)
+        turn = rollouts.turn_of(
+            self._run_name, self._heard.live_hosts(order), order.number
+        )
+        return now - since >= turn
+
+    async def _write_status(self, progress: rollouts.Progress) -> None:
+        record = self._record(progress, progress.phase)
+        service = progress.order.service
+        if self._status_written.get(service) == record:
+            return
+        if not self._is_my_turn(progress, progress.phase):
+            return
+        key, value = self._codec.status(record)
+        batch = await self._topics.status.newest()
+        known = {each.key: each.value for each in batch.records}
+        if known.get(key) != value:
+            put = await self._topics.status.put(key, value, batch.next_offset)
+            if put is None:
+                return
+            self._state.log.write(
+                "rollout_status",
+                service=service,
+                target=record.target,
+                phase=record.phase.value,
+            )
+        self._status_written[service] = record
+
+
+def pooled_text(pooled: dict[str, rollouts.RouteEvidence]) -> str:
+    """Returns counts for a log line: answers/failures/slow, target first."""
+    texts = []
+    for name, route in sorted(pooled.items()):
+        target, others = route.target, route.others
+        texts.append(
+            f"{name}={target.answers}/{target.failures}/{target.slow}"
+            f" of {others.answers}/{others.failures}/{others.slow}"
+        )
+    return "; ".join(texts)
--- /dev/null
+++ b/src/hoistmoor/relay/settings.py
@@ -0,0 +1,34 @@
+"""Settings of the relay, in the product's own terms and units."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings:
+    """Settings of one relay.
+
+    Attributes:
+        host: Name of this host.
+        zone: Its failure domain.
+        listen: ``ip:port`` for callers.
+        ready_listen: ``ip:port`` for the balancer's question.
+        metrics_listen: ``ip:port`` for metrics; empty for none.
+        revocation: Seconds within which a key taken away must be refused.
+        stop_timeout: Seconds from a stop signal to the end by force.
+        repeat_ratio: Repeats allowed for each request to a service.
+        repeat_window: Seconds over which both are counted.
+        repeat_spare: Repeats that a host may make without any request.
+    """
+
+    host: str
+    zone: str
+    listen: str
+    ready_listen: str
+    metrics_listen: str = ""
+    revocation: float = 5.0
+    stop_timeout: float = 8.0
+    repeat_ratio: float = 0.2
+    repeat_window: float = 10.0
+    repeat_spare: float = 3.0
--- /dev/null
+++ b/src/hoistmoor/relay/state.py
@@ -0,0 +1,54 @@
+"""What one relay knows; its tasks share it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from hoistmoor.core.relay import configuration as configuration_lib
+from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import router as router_lib
+from hoistmoor.relay import counters as counters_lib
+from hoistmoor.relay import event_log
+
+
+@attrs.define(eq=False)
+class RelayState:
+    """What one relay knows.
+
+    Attributes:
+        clock: Steady time, in seconds.
+        log: Where decisions are written.
+        counters: What is counted.
+        router: Backend servers, roll-outs, budgets.
+        lease: Whether the configuration may be used.
+        configuration: In force here; None before the first.
+        topics_read: Topics whose newest records were read.
+        draining: Whether a stop signal came; requests are still taken.
+        stopping: Whether new requests are refused.
+    """
+
+    clock: Callable[[], float]
+    log: event_log.EventLog
+    counters: counters_lib.Counters
+    router: router_lib.Router
+    lease: freshness.ConfigurationLease
+    configuration: configuration_lib.Configuration | None = None
+    topics_read: set[str] = attrs.field(factory=set)
+    draining: bool = False
+    stopping: bool = False
+
+    def believe(self, kind: str, **fields: object) -> None:
+        """Writes and counts a change of what this host believes."""
+        self.log.write(kind, **fields)
+        self.counters.beliefs.labels(kind).inc()
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+        return (
+            not self.draining
+            and self.configuration is not None
+            and {"servers", "phases"} <= self.topics_read
+            and self.lease.holds(self.clock())
+        )
