Keep unlike model requests apart, repeat failed runs, prove trials

Change: classes by model and length have places on a line of servers that all hosts order alike; work is weighed by the model's cost; an answer is dropped for the largest model's by its chance to be right and to be late; failed idempotent runs are sent again; sessions join trials by a shared hash and keep their version; no version spreads with fewer than 20 answers; a read that was held in vain proves the configuration current to the end of the wait; entries are read every 0.8 s.

--- a/src/hoistmoor/core/relay/cascade.py
+++ b/src/hoistmoor/core/relay/cascade.py
@@ -1,16 +1,29 @@
 """Which model size answers, and when a small one's answer is dropped.
 
 A small model costs a fraction of a large one and tells how sure it is before
-the first event goes out. Where it is not sure enough, its answer is dropped
-and the largest model is asked: the sizes between cost much and add little.
+the first event goes out. Its answer is dropped for the largest model's where
+that is worth more: a small answer may be wrong, a large one may be late. The
+sizes between cost much and add little.
 """
 
 from __future__ import annotations
 
+import math
+
 ANY_MODEL = "*"
-# Least confidence, 0 to 100, at which an answer of a small model is kept.
-# Measured: docs/platform-results.md, round on cascades.
-KEEP_FROM = 50.0
+
+# Chance that an answer is right, by the model's confidence in it: a logistic
+# curve. Nobody rates the relay's answers, so the curve is an assumption; it
+# fits the worth lost at three fixed thresholds (docs/platform-results.md).
+MIDPOINT = 42.0  # Confidence at which one answer in two is right.
+SPREAD = 6.0
+WRONG_WORTH = 0.05  # Worth of a wrong answer, as a share of a right one's.
+LATE_WORTH = 0.1  # Worth of a right answer that is late.
+LARGE_WORTH = 0.9  # Worth of a large model's answer, less its cost.
+# Least gain for which a second run is made: it delays everybody else's.
+LEAST_GAIN = 0.05
+# How sharply the chance to be late rises about the expected delay.
+LATE_POWER = 3.0
 
 
 def first_size(sizes: tuple[str, ...]) -> str:
@@ -18,8 +31,31 @@
     return sizes[0]
 
 
+def is_right(confidence: float) -> float:
+    """Returns the chance that an answer is right, 0 to 1."""
+    return 1.0 / (1.0 + math.exp((MIDPOINT - confidence) / SPREAD))
+
+
+def is_late(expected: float, left: float) -> float:
+    """Returns the chance that an answer begins too late, 0 to 1.
+
+    Args:
+        expected: Seconds that its first part is expected to take.
+        left: Seconds left for it.
+    """
+    if left <= 0.0:
+        return 1.0
+    if expected <= 0.0:
+        return 0.0
+    return float(1.0 / (1.0 + (left / expected) ** LATE_POWER))
+
+
 def next_size(
-    sizes: tuple[str, ...], model: str, confidence: float | None
+    sizes: tuple[str, ...],
+    model: str,
+    confidence: float | None,
+    expected: float,
+    left: float,
 ) -> str | None:
     """Returns the model to ask instead, or None to keep the answer.
 
@@ -28,9 +64,14 @@
         model: The one that answers.
         confidence: Its own opinion of the answer, 0 to 100; None if it told
             none.
+        expected: Seconds that the largest model's first part is expected to
+            take.
+        left: Seconds left for it to be in time.
     """
-    if confidence is None or confidence >= KEEP_FROM:
-        return None
-    if model == sizes[-1]:
+    if confidence is None or not sizes or model == sizes[-1]:
         return None
-    return sizes[-1]
+    right = is_right(confidence)
+    kept = right + (1.0 - right) * WRONG_WORTH
+    late = is_late(expected, left)
+    asked = LARGE_WORTH * (1.0 - late + late * LATE_WORTH)
+    return sizes[-1] if asked > kept + LEAST_GAIN else None
--- a/src/hoistmoor/core/relay/fleet.py
+++ b/src/hoistmoor/core/relay/fleet.py
@@ -20,6 +20,7 @@
 # the store lists those that live again within about two seconds.
 LAPSE_GRACE = 2.0
 FULL_REST = 0.25  # Seconds without new work for a server that had no room.
+WORK_STEP = 0.1  # Weight of the newest request in a server's mean work.
 MAX_RESTING = 0.5  # Part of a service's servers that may rest as outliers.
 
 
@@ -73,6 +74,9 @@
         entry: As last told.
         health: How its attempts have gone.
         in_flight: Requests of this host that it has.
+        work: Work of these for an engine, in prompt tokens.
+        mean_work: Usual work of a request that it got from this host; 0
+            before the first.
         others: Requests of other hosts that it had when it last told.
         others_at: When it last told.
         lapsed_at: When its entry went away in doubt; None while it is listed.
@@ -81,15 +85,25 @@
     entry: ServerEntry
     health: health_lib.Health = attrs.field(factory=health_lib.Health)
     in_flight: int = 0
+    work: float = 0.0
+    mean_work: float = 0.0
     others: int = 0
     others_at: float = float("-inf")
     lapsed_at: float | None = None
 
+    def others_now(self, now: float) -> int:
+        """Returns the requests of other hosts that it probably has."""
+        return self.others if now - self.others_at < LOAD_LIFE else 0
+
     def load(self, now: float) -> float:
-        """Returns its work as a multiple of its slots."""
-        fresh = now - self.others_at < LOAD_LIFE
-        work = self.in_flight + (self.others if fresh else 0)
-        return (work + 1) / max(1, self.entry.slots)
+        """Returns its requests as a multiple of its slots."""
+        requests = self.in_flight + self.others_now(now)
+        return (requests + 1) / max(1, self.entry.slots)
+
+    def note_work(self, work: float) -> None:
+        """Takes a request's work into the mean."""
+        known = self.mean_work or work
+        self.mean_work = known + WORK_STEP * (work - known)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Notes a load report that came with an answer to this host."""
--- a/src/hoistmoor/core/relay/freshness.py
+++ b/src/hoistmoor/core/relay/freshness.py
@@ -1,8 +1,9 @@
 """The lease under which the configuration in force may be used.
 
 Each read of the newest configuration proves that it was current when the
-read was *sent*. For some time after that moment a key that is in force here
-cannot have been taken away for longer than the operators allow.
+read was *sent*, or later if the store held it back. For some time after that
+moment a key that is in force here cannot have been taken away for longer than
+the operators allow.
 """
 
 from __future__ import annotations
@@ -27,10 +28,10 @@
     bound: float
     proved_at: float | None = None
 
-    def prove(self, sent_at: float) -> None:
-        """Notes a read of the newest configuration, sent at ``sent_at``."""
-        if self.proved_at is None or sent_at > self.proved_at:
-            self.proved_at = sent_at
+    def prove(self, current_at: float) -> None:
+        """Notes that the configuration was current at a steady time."""
+        if self.proved_at is None or current_at > self.proved_at:
+            self.proved_at = current_at
 
     def age(self, now: float) -> float:
         """Returns the seconds since the configuration was known current."""
--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/machine.py
@@ -104,7 +104,14 @@
             return None
         if not request.route.may_run_again:
             return None
-        better = cascade.next_size(request.route.sizes, self.model, confidence)
+        largest = request.route.sizes[-1] if request.route.sizes else ""
+        better = cascade.next_size(
+            request.route.sizes,
+            self.model,
+            confidence,
+            self._router.expected_first(request, largest, now),
+            request.arrived + request.route.target - now,
+        )
         if better is None or not self._router.may_repeat(request, now):
             return None
         return better
@@ -116,13 +123,12 @@
         if self._escalating:
             self._escalating = False
             return self._send(now, refusals.Reason.BACKEND_CUT)
-        if event.state is _State.ANSWERED and not self._should_repeat(
-            event, now
-        ):
+        failed = event.state is _State.ANSWERED
+        if failed and not self._should_repeat(event, now):
             return messages.Deliver()
         self._excluded |= {self.server.entry.server_id}
         self._detail = event.detail or f"status {event.status}"
-        if self._may_try_again(event.state, now):
+        if failed or self._may_try_again(event.state, now):
             return self._send(now, _REASON_BY_STATE[event.state])
         return self._give_up(_REASON_BY_STATE[event.state])
 
@@ -163,16 +169,25 @@
         self._begun = True
 
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
-        server = self._router.pick(self.request, self._excluded, now)
+        server = self._router.pick(
+            self.request, self.model, self._excluded, now
+        )
         if server is None:
             self._detail = self._detail or "no backend server is ready"
             return self._give_up(reason)
-        self._router.note_sent(self.request, server, self.sent > 0, now)
+        work_class = self._router.class_of(self.request, self.model)
+        send = messages.Send(
+            server,
+            self.model,
+            work_class,
+            self._router.begin_attempt(self.request, work_class, now),
+            self.request.deadline,
+            self._patience(),
+        )
+        self._router.note_sent(self.request, send, self.sent > 0, now)
         self.sent += 1
         self.server = server
-        return messages.Send(
-            server, self.model, self.request.deadline, self._patience()
-        )
+        return send
 
     def _patience(self) -> float | None:
         route = self.request.route
--- a/src/hoistmoor/core/relay/messages.py
+++ b/src/hoistmoor/core/relay/messages.py
@@ -7,6 +7,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
 from hoistmoor.core.relay import fleet
+from hoistmoor.core.relay import partition
 
 
 @attrs.frozen
@@ -57,6 +58,8 @@
     Attributes:
         server: The backend server.
         model: Model to name; empty where the request names none.
+        work_class: Class of work that it belongs to.
+        serial: Its number at this host.
         deadline: Steady time at which the server is to give up.
         patience: Seconds without a byte after which the attempt is given up;
             None to wait until the deadline.
@@ -64,6 +67,8 @@
 
     server: fleet.ServerState
     model: str
+    work_class: partition.WorkClass
+    serial: int
     deadline: float
     patience: float | None = None
 
--- a/src/hoistmoor/core/relay/requests.py
+++ b/src/hoistmoor/core/relay/requests.py
@@ -6,6 +6,10 @@
 
 from hoistmoor.core.relay import configuration
 
+# A generated token costs an engine about as much as ten tokens of a prompt:
+# these are read many at a time, a generated one takes a step of its own.
+TOKENS_PER_NEW_TOKEN = 10
+
 
 @attrs.frozen
 class PromptPart:
@@ -36,6 +40,16 @@
     max_new_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
+    @property
+    def work(self) -> float:
+        """Work for an engine that has nothing cached, in prompt tokens."""
+        return self.tokens + TOKENS_PER_NEW_TOKEN * self.max_new_tokens
+
     @property
     def subject(self) -> str:
         """Name of the last part that other requests share, or empty."""
@@ -56,6 +70,7 @@
         deadline: When its final answer is due, on the steady clock.
         caller_deadline: When the caller stops waiting.
         prompt: For model requests.
+        model_costs: Cost of the service's models, by name.
         session: The caller's name for the session, or empty.
         last_event: Newest event that the caller has; None for none.
     """
@@ -69,5 +84,22 @@
     deadline: float
     caller_deadline: float
     prompt: Prompt | None = None
+    model_costs: dict[str, float] = attrs.field(factory=dict)
     session: str = ""
     last_event: int | None = None
+
+    def work(self, model: str) -> float:
+        """Returns the work for an engine that has nothing cached.
+
+        The unit is a prompt token of the smallest model. How much more work
+        a token of a larger model is, is taken from what it costs.
+        """
+        if self.prompt is None:
+            return 0.0
+        return self.prompt.work * self.weight(model)
+
+    def weight(self, model: str) -> float:
+        """Returns a token's work in tokens of the smallest model."""
+        if not self.model_costs or model not in self.model_costs:
+            return 1.0
+        return self.model_costs[model] / min(self.model_costs.values())
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -16,6 +16,9 @@
 TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
 SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
 COMPLETE_AT = 0.85  # Part of it after which the old version is given up.
+# Part of the sessions, by a hash that all hosts share, that may join a trial.
+SESSION_SHARE = 0.15
+MIN_PROOF = 20  # Answers of the target, of all hosts, before all requests move.
 MIN_ANSWERS = 8  # Answers of one route before its share of failures counts.
 MIN_BAD = 5  # Bad answers before a version is judged.
 FAILURE_FACTOR = 2.0  # Times the old version's failures, and
@@ -165,7 +168,8 @@
         return None
     if any(is_bad(route) for route in pooled.values()):
         return Phase.REVERTED
-    if phase is Phase.TRIAL and elapsed >= SPREAD_AT:
+    proved = sum(route.target.answers for route in pooled.values())
+    if phase is Phase.TRIAL and elapsed >= SPREAD_AT and proved >= MIN_PROOF:
         return Phase.SPREAD
     if phase is Phase.SPREAD and elapsed >= COMPLETE_AT:
         return Phase.COMPLETE
@@ -221,15 +225,53 @@
         return any(is_bad(route) for route in self.counts.values())
 
 
+def _is_drawn(session: str, number: int) -> bool:
+    """Returns whether a session may join the trial of an order."""
+    drawn = xxhash.xxh64_intdigest(f"{number} {session}".encode())
+    return drawn < SESSION_SHARE * (1 << 64)
+
+
+class SessionVersions:
+    """Versions of the sessions that this host has served lately.
+
+    Attributes:
+        life: Seconds after its last request that a session lives.
+    """
+
+    def __init__(self, life: float) -> None:
+        self.life = life
+        self._known: dict[str, tuple[str, float]] = {}
+
+    def note(self, session: str, version: str, now: float) -> None:
+        """Notes that a session's request runs, or ran until now."""
+        self._known.pop(session, None)
+        self._known[session] = (version, now)
+        oldest = next(iter(self._known))
+        if now - self._known[oldest][1] > self.life:
+            del self._known[oldest]
+
+    def version_of(self, session: str, now: float) -> str | None:
+        """Returns the version that a live session has, if it is known."""
+        version, at = self._known.get(session, ("", float("-inf")))
+        return version if now - at <= self.life else None
+
+
 class RolloutBook:
     """All roll-outs, and which versions of a service may get a request.
 
     Attributes:
+        sessions: Versions that sessions keep.
         progress: Newest roll-out by service.
         withdrawn: Versions that were reverted, by service.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, session_life: float) -> None:
+        """Makes an empty book.
+
+        Args:
+            session_life: Seconds after its last request that a session lives.
+        """
+        self.sessions = SessionVersions(session_life)
         self.progress: dict[str, Progress] = {}
         self.withdrawn: dict[str, set[str]] = {}
         self._phases: dict[tuple[str, str], PhaseRecord] = {}
@@ -268,15 +310,16 @@
             withdrawn.discard(record.target)
 
     def choose(
-        self, service: str, versions: set[str], has_session: bool
+        self, service: str, versions: set[str], session: str, now: float
     ) -> set[str]:
         """Returns the versions that the next request for a service may use.
 
         Args:
             service: The service.
             versions: Versions that its servers have.
-            has_session: Whether the request belongs to a session, which
-                keeps its version while a trial runs.
+            session: Session that the request belongs to, or empty. It keeps
+                its version while a trial runs.
+            now: Steady time.
         """
         open_to = versions - self.withdrawn.get(service, set())
         progress = self.progress.get(service)
@@ -286,22 +329,35 @@
         if progress.phase is Phase.REVERTED:
             return open_to - target
         if progress.phase is Phase.TRIAL:
-            if self._gives_trial(progress, versions, has_session):
+            if self._joins_trial(progress, versions, session, now):
                 return target
             return open_to - target
         return target & versions or open_to
 
-    def _gives_trial(
-        self, progress: Progress, versions: set[str], has_session: bool
+    def _joins_trial(
+        self,
+        progress: Progress,
+        versions: set[str],
+        session: str,
+        now: float,
     ) -> bool:
-        if has_session or progress.order.target not in versions:
-            return False
-        if progress.has_local_doubt():
+        target = progress.order.target
+        if target not in versions or progress.has_local_doubt():
             return False
+        if session:
+            known = self.sessions.version_of(session, now)
+            if known is not None:
+                return known == target
+            if not _is_drawn(session, progress.order.number):
+                return False
         return progress.sent_target < TRIAL_SHARE * progress.sent
 
-    def note_sent(self, service: str, version: str) -> None:
+    def note_sent(
+        self, service: str, version: str, session: str, now: float
+    ) -> None:
         """Counts a request that goes to a server of ``version``."""
+        if session:
+            self.sessions.note(session, version, now)
         progress = self.progress.get(service)
         if progress is None:
             return
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -11,16 +11,22 @@
 import attrs
 
 from hoistmoor.core.relay import budget
+from hoistmoor.core.relay import delays as delays_lib
 from hoistmoor.core.relay import fleet as fleet_lib
 from hoistmoor.core.relay import pace as pace_lib
+from hoistmoor.core.relay import partition as partition_lib
 from hoistmoor.core.relay import placement
 from hoistmoor.core.relay import rollouts
 
 if TYPE_CHECKING:
+    from hoistmoor.core.relay import messages
     from hoistmoor.core.relay import requests
     from hoistmoor.core.routing import hashing
 
 
+WORK_STEP = 0.02  # Weight of the newest request in the mean work of one.
+
+
 @attrs.frozen
 class Bounds:
     """Bounds that the operators set for the relay.
@@ -29,11 +35,13 @@
         repeat_ratio: Repeats for each request to a service.
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats a host may make with no request at all.
+        session_life: Seconds after its last request that a session lives.
     """
 
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
+    session_life: float = 5.0
 
 
 class Router:
@@ -48,16 +56,21 @@
 
     def __init__(self, zone: str, bounds: Bounds, draws: hashing.Draws) -> None:
         self.fleet = fleet_lib.Fleet()
-        self.rollouts = rollouts.RolloutBook()
+        self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
         self.zone = zone
         self._bounds = bounds
         self._draws = draws
         self._budgets: dict[str, budget.RepeatBudget] = {}
+        self._partitions: dict[str, partition_lib.Partition] = {}
+        self._mean_work: dict[str, float] = {}
+        self._first_delays: dict[str, delays_lib.FirstDelays] = {}
 
     def note_request(self, request: requests.RelayRequest, now: float) -> None:
         """Counts a caller's request, which earns its service repeats."""
         self._budget(request.service).note_request(now)
+        if request.prompt is not None:
+            self._partition(request.service).note_prompt(request.prompt.tokens)
 
     def may_repeat(self, request: requests.RelayRequest, now: float) -> bool:
         """Returns whether the budget allows to send the request once more."""
@@ -66,43 +79,116 @@
     def pick(
         self,
         request: requests.RelayRequest,
+        model: str,
         excluded: frozenset[str],
         now: float,
     ) -> fleet_lib.ServerState | None:
         """Returns the server for the next attempt, or None without one."""
         service = request.service
         allowed = self.rollouts.choose(
-            service, self.fleet.versions(service), bool(request.session)
+            service, self.fleet.versions(service), request.session, now
         )
         ready = [
             each
             for each in self.fleet.ready(service, excluded, now)
             if each.entry.version in allowed
         ]
-        subject = request.prompt.subject if request.prompt else ""
-        return placement.pick(ready, subject, self.zone, now, self._draws)
+        if request.prompt is None:
+            return placement.pick(ready, self.zone, now, self._draws)
+        work_class = self.class_of(request, model)
+        mean_work = self._mean_work.get(service, request.work(model))
+        return placement.pick_engine(
+            ready,
+            request,
+            model,
+            partition_lib.distances(work_class, ready),
+            mean_work,
+            now,
+        )
+
+    def class_of(
+        self, request: requests.RelayRequest, model: str
+    ) -> partition_lib.WorkClass:
+        """Returns the class of work that an attempt belongs to."""
+        return self._partition(request.service).class_of(
+            request.prompt.tokens if request.prompt else 0,
+            model,
+            request.route.sizes,
+        )
+
+    def expected_first(
+        self, request: requests.RelayRequest, model: str, now: float
+    ) -> float:
+        """Returns the seconds that a model's first part should take."""
+        work_class = self.class_of(request, model)
+        return self._delays(request.service).expected(work_class, now)
+
+    def note_first(
+        self, request: requests.RelayRequest, send: messages.Send, now: float
+    ) -> None:
+        """Notes that an attempt's answer began."""
+        self._delays(request.service).end(
+            send.work_class, send.serial, now, answered=True
+        )
+
+    def begin_attempt(
+        self,
+        request: requests.RelayRequest,
+        work_class: partition_lib.WorkClass,
+        now: float,
+    ) -> int:
+        """Notes that an attempt begins to wait; returns its serial."""
+        return self._delays(request.service).begin(work_class, now)
 
     def note_sent(
         self,
         request: requests.RelayRequest,
-        server: fleet_lib.ServerState,
+        send: messages.Send,
         is_repeat: bool,
         now: float,
     ) -> None:
         """Counts an attempt that is about to be sent."""
+        server = send.server
         server.in_flight += 1
-        self.rollouts.note_sent(request.service, server.entry.version)
+        if request.prompt is not None:
+            work = request.work(send.model)
+            server.work += work
+            server.note_work(work)
+            mean = self._mean_work.get(request.service, work)
+            step = WORK_STEP * (work - mean)
+            self._mean_work[request.service] = mean + step
+        self.rollouts.note_sent(
+            request.service, server.entry.version, request.session, now
+        )
         if is_repeat:
             self._budget(request.service).note_repeat(now)
 
     def note_ended(
         self,
-        server: fleet_lib.ServerState,
+        request: requests.RelayRequest,
+        send: messages.Send,
         outcome: pace_lib.AttemptOutcome,
         now: float,
     ) -> None:
-        """Notes how an attempt went."""
+        """Notes how an attempt went.
+
+        Args:
+            request: The request.
+            send: The attempt.
+            outcome: How it went.
+            now: Steady time.
+        """
+        server = send.server
+        if request.session:
+            self.rollouts.sessions.note(
+                request.session, server.entry.version, now
+            )
         server.in_flight -= 1
+        self._delays(request.service).end(
+            send.work_class, send.serial, now, answered=False
+        )
+        if request.prompt is not None:
+            server.work -= request.work(send.model)
         if outcome is pace_lib.AttemptOutcome.LEFT:
             return
         if outcome is pace_lib.AttemptOutcome.FULL:
@@ -136,6 +222,12 @@
                 slow,
             )
 
+    def _partition(self, service: str) -> partition_lib.Partition:
+        return self._partitions.setdefault(service, partition_lib.Partition())
+
+    def _delays(self, service: str) -> delays_lib.FirstDelays:
+        return self._first_delays.setdefault(service, delays_lib.FirstDelays())
+
     def _budget(self, service: str) -> budget.RepeatBudget:
         known = self._budgets.get(service)
         if known is None:
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -54,5 +54,6 @@
         stop_timeout=bounds["grace_s"],
         repeat_ratio=bounds["retry_budget_ratio"],
         repeat_window=bounds["retry_window_s"],
+        session_life=bounds["session_s"],
     )
     return PlatformSettings(relay, fields["platform"]["address"])
--- a/src/hoistmoor/relay/admission.py
+++ b/src/hoistmoor/relay/admission.py
@@ -131,16 +131,19 @@
             headers.get(names.tokens),
             headers.get(names.prefix),
         )
+        service = self._draw_service(route)
+        described = found.services.get(service)
         return requests.RelayRequest(
             request_id=request_id,
             route=route,
-            service=self._draw_service(route),
+            service=service,
             account=account,
             revision=found.revision,
             arrived=head.arrived,
             deadline=min(caller_deadline, head.arrived + route.timeout),
             caller_deadline=caller_deadline,
             prompt=prompt,
+            model_costs=described.model_costs if described else {},
             session=headers.get(names.session, ""),
             last_event=header_names.parse_number(headers.get(names.last_event)),
         )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -41,11 +41,11 @@
 STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
 # Seconds that a read of the operators' topic may be held back, and the pause
 # after it: together they are the age of a configuration known to be current.
-OPERATOR_WAIT = 1.0
+OPERATOR_WAIT = 1.2
 OPERATOR_PAUSE = 0.05
 # Entries change many times a second; a pause reads several at once.
 SERVERS_WAIT = 1.0
-SERVERS_PAUSE = 0.4
+SERVERS_PAUSE = 0.8
 PHASES_WAIT = 5.0
 PHASES_PAUSE = 0.05
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
@@ -77,6 +77,7 @@
             settings.repeat_ratio,
             settings.repeat_window,
             settings.repeat_spare,
+            settings.session_life,
         )
         self.state = state_lib.RelayState(
             clock=clock,
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -23,13 +23,15 @@
 
     Attributes:
         batch: The records.
-        sent_at: Steady time at which the read was sent.
+        current_at: Steady time at which the store certainly had nothing
+            newer: when the read was sent or, if the store held it back in
+            vain, the end of the wait that was asked for.
         after_outage: Seconds since the store was heard again; infinite if it
             has not been away.
     """
 
     batch: ports.Batch
-    sent_at: float
+    current_at: float
     after_outage: float
 
 
@@ -106,7 +108,10 @@
         self._note_heard()
         self.next_offset = batch.next_offset
         after_outage = self._state.clock() - self._regained_at
-        self._listener(Update(batch, sent_at, after_outage))
+        current_at = sent_at
+        if not batch.records and not batch.is_snapshot:
+            current_at = min(sent_at + self._wait, self._state.clock())
+        self._listener(Update(batch, current_at, after_outage))
         self._state.topics_read.add(self.name)
 
     def _note_lost(self, error: errors.HoistmoorError) -> None:
--- a/src/hoistmoor/relay/listeners.py
+++ b/src/hoistmoor/relay/listeners.py
@@ -30,7 +30,7 @@
         for record in update.batch.records:
             self._take(record)
         if self._state.configuration is not None:
-            self._state.lease.prove(update.sent_at)
+            self._state.lease.prove(update.current_at)
 
     def _take(self, record: ports.Record) -> None:
         if record.value is None:
--- a/src/hoistmoor/relay/relay_task.py
+++ b/src/hoistmoor/relay/relay_task.py
@@ -118,7 +118,9 @@
             outcome = _outcome_of(state, attempt)
         finally:
             attempt.exchange.cancel()
-            self._state.router.note_ended(send.server, outcome, self._now())
+            self._state.router.note_ended(
+                self._request, send, outcome, self._now()
+            )
         self._note_attempt(attempt, state)
         if self._is_over(state):
             return self._machine.handle(messages.DeadlineReached(), self._now())
@@ -207,6 +209,7 @@
             return
         self._check_genuine(head)
         attempt.head = head
+        self._state.router.note_first(self._request, attempt.send, self._now())
         confidence = header_names.parse_confidence(
             head.headers.get(names.confidence)
         )
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -15,7 +15,7 @@
     from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
 
-PERIOD = 0.5  # Seconds between two looks; a roll-back has five.
+PERIOD = 1.0  # Seconds between two looks; a roll-back has five.
 TELL_EVERY = 1.0  # Seconds between two tellings of this host's counts.
 
 
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -20,6 +20,7 @@
         repeat_ratio: Repeats allowed for each request to a service.
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats that a host may make without any request.
+        session_life: Seconds after its last request that a session lives.
     """
 
     host: str
@@ -32,3 +33,4 @@
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
+    session_life: float = 5.0
