Let only the rest of an answer end a stream that has begun

Ruled out: chunks lost on the way (the body was short by the events that the 500 replaced). Change: once the caller has a part, a whole answer that is no success is a failure: asked for again, or the connection is cut. Before: both new tests fail; after: they pass.

--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/machine.py
@@ -123,15 +123,26 @@
         if self._escalating:
             self._escalating = False
             return self._send(now, refusals.Reason.BACKEND_CUT)
-        failed = event.state is _State.ANSWERED
-        if failed and not self._should_repeat(event, now):
+        if event.state is _State.ANSWERED and not self._is_failure(event):
             return messages.Deliver()
+        can_deliver = event.state is _State.ANSWERED and not self._begun
         self._excluded |= {self.server.entry.server_id}
         self._detail = event.detail or f"status {event.status}"
-        if failed or self._may_try_again(event.state, now):
+        if self._may_try_again(event.state, now):
             return self._send(now, _REASON_BY_STATE[event.state])
+        if can_deliver:
+            return messages.Deliver()
         return self._give_up(_REASON_BY_STATE[event.state])
 
+    def _is_failure(self, event: messages.AttemptEnded) -> bool:
+        """Returns whether a whole answer is not what the caller waits for.
+
+        Once the caller has a part of an answer, only the rest of it will do.
+        """
+        if self._begun:
+            return not 200 <= event.status < 300
+        return event.status >= 500
+
     def _note_end(self, event: messages.AttemptEnded) -> None:
         outcome = outcomes.OUTCOME_BY_STATE[event.state]
         if outcome is outcomes.Outcome.NOT_RUN:
@@ -140,13 +151,6 @@
         self.may_have_run = True
         self._runs += 1
 
-    def _should_repeat(self, event: messages.AttemptEnded, now: float) -> bool:
-        """Returns whether a server's failure is better asked for again."""
-        if event.status < 500 or self._begun:
-            return False
-        may_run = self.request.route.may_run_again
-        return may_run and self._may_try_again(_State.ANSWERING, now)
-
     def _may_try_again(self, state: outcomes.ExchangeState, now: float) -> bool:
         request = self.request
         if request.deadline - now < LEAST_TIME:
@@ -155,7 +159,13 @@
             return False
         if self._declined > MAX_DECLINED:
             return False
-        if not outcomes.may_resend(state, request.route.may_run_again):
+        # A failure that was answered whole may be asked for again as well.
+        may_run = request.route.may_run_again
+        if state is _State.ANSWERED and not may_run:
+            return False
+        if state is not _State.ANSWERED and not outcomes.may_resend(
+            state, may_run
+        ):
             return False
         return self._router.may_repeat(request, now)
 
--- a/tests/core/relay/test_relay_machine.py
+++ b/tests/core/relay/test_relay_machine.py
@@ -175,3 +175,19 @@
     assertions.assert_that(
         refusal.outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
     )
+
+
+def test_a_failure_does_not_end_an_answer_that_began(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.put(relay_parts.entry("e1", service="llm"))
+    router.fleet.put(relay_parts.entry("e2", service="llm"))
+    machine, _ = start(router, relay_parts.CHAT)
+    machine.note_begun()
+    effect = machine.handle(messages.AttemptEnded(State.ANSWERING), NOW)
+    assertions.assert_that(effect, matchers.IsInstance(messages.Send))
+    failed = messages.AttemptEnded(State.ANSWERED, 500)
+    effect = machine.handle(failed, NOW)
+    while isinstance(effect, messages.Send):
+        effect = machine.handle(failed, NOW)
+    assertions.assert_that(effect, matchers.IsInstance(messages.Break))
--- a/tests/relay/test_relay_path.py
+++ b/tests/relay/test_relay_path.py
@@ -232,6 +232,29 @@
             await reply.read()
 
 
+async def test_a_failure_after_a_cut_does_not_make_a_stream_whole(
+    harness: Harness,
+) -> None:
+    async def half_then_fail(
+        backend: Backend, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        if b"Last-Event-Id" in request:
+            writer.write(
+                b"HTTP/1.1 500 Bad\r\nX-Request-Id: r1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return
+        writer.write(STREAM + chunk(event(1)))
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    for number in range(2):
+        await harness.add_backend(f"e{number}", half_then_fail, service="llm")
+    with pytest.raises(aiohttp.ClientError):
+        async with harness.call("/chat/", headers=MODEL) as reply:
+            await reply.read()
+
+
 async def test_an_unframed_answer_that_is_reset_is_not_whole(
     harness: Harness,
 ) -> None:
