--- a/src/hoistmoor/core/relay/cascade.py
+++ b/src/hoistmoor/core/relay/cascade.py
@@ -22,6 +22,10 @@
 LARGE_WORTH = 0.9  # Worth of a large model's answer, less its cost.
 # Least gain for which a second run is made: it delays everybody else's.
 LEAST_GAIN = 0.05
+# Worth lost to other requests where a large answer takes all the time left,
+# and with its square below that: a long wait shows that the large model's
+# engines are behind, and each request more puts them further behind.
+DELAY_COST = 0.5
 # How sharply the chance to be late rises about the expected delay.
 LATE_POWER = 3.0
 
@@ -74,4 +78,5 @@
     kept = right + (1.0 - right) * WRONG_WORTH
     late = is_late(expected, left)
     asked = LARGE_WORTH * (1.0 - late + late * LATE_WORTH)
+    asked -= DELAY_COST * min(1.0, expected / max(left, 1e-3)) ** 2
     return sizes[-1] if asked > kept + LEAST_GAIN else None
