Ask the old version again for what a trial has failed

Ruled out: a slow verdict (reverted 3.5 s after the order). Change: a repeat of a request that a trial's version failed goes to the versions before it. Before: the new test fails; after: it passes. Conclusion: a trial may cost a caller time, not its answer.

--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/machine.py
@@ -67,6 +67,7 @@
         self._begun = False  # Whether the caller has part of an answer.
         self._escalating = False
         self._excluded: frozenset[str] = frozenset()
+        self._failed_versions: frozenset[str] = frozenset()
         self._detail = ""
 
     def handle(self, event: messages.Event, now: float) -> messages.Effect:
@@ -125,6 +126,8 @@
             return self._send(now, refusals.Reason.BACKEND_CUT)
         if event.state is _State.ANSWERED and not self._is_failure(event):
             return messages.Deliver()
+        if event.state is _State.ANSWERED:
+            self._failed_versions |= {self.server.entry.version}
         can_deliver = event.state is _State.ANSWERED and not self._begun
         self._excluded |= {self.server.entry.server_id}
         self._detail = event.detail or f"status {event.status}"
@@ -180,7 +183,11 @@
 
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
         server = self._router.pick(
-            self.request, self.model, self._excluded, now
+            self.request,
+            self.model,
+            self._excluded,
+            self._failed_versions,
+            now,
         )
         if server is None:
             self._detail = self._detail or "no backend server is ready"
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -310,7 +310,12 @@
             withdrawn.discard(record.target)
 
     def choose(
-        self, service: str, versions: set[str], session: str, now: float
+        self,
+        service: str,
+        versions: set[str],
+        session: str,
+        failed: frozenset[str],
+        now: float,
     ) -> set[str]:
         """Returns the versions that the next request for a service may use.
 
@@ -319,6 +324,8 @@
             versions: Versions that its servers have.
             session: Session that the request belongs to, or empty. It keeps
                 its version while a trial runs.
+            failed: Versions that already failed this request; a trial does
+                not get it again.
             now: Steady time.
         """
         open_to = versions - self.withdrawn.get(service, set())
@@ -329,7 +336,10 @@
         if progress.phase is Phase.REVERTED:
             return open_to - target
         if progress.phase is Phase.TRIAL:
-            if self._joins_trial(progress, versions, session, now):
+            has_failed = progress.order.target in failed
+            if not has_failed and self._joins_trial(
+                progress, versions, session, now
+            ):
                 return target
             return open_to - target
         return target & versions or open_to
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -81,12 +81,25 @@
         request: requests.RelayRequest,
         model: str,
         excluded: frozenset[str],
+        failed: frozenset[str],
         now: float,
     ) -> fleet_lib.ServerState | None:
-        """Returns the server for the next attempt, or None without one."""
+        """Returns the server for the next attempt, or None without one.
+
+        Args:
+            request: The request.
+            model: Model to be asked for; empty for plain requests.
+            excluded: Ids of servers that must not be chosen.
+            failed: Versions that already failed this request.
+            now: Steady time.
+        """
         service = request.service
         allowed = self.rollouts.choose(
-            service, self.fleet.versions(service), request.session, now
+            service,
+            self.fleet.versions(service),
+            request.session,
+            failed,
+            now,
         )
         ready = self.fleet.ready(service, allowed, excluded, now)
         if request.prompt is None:
--- a/tests/core/relay/test_relay_rollouts.py
+++ b/tests/core/relay/test_relay_rollouts.py
@@ -11,6 +11,7 @@
 Phase = rollouts.Phase
 ORDER = rollouts.Order("llm", "v2", 20.0, 7)
 BOTH = {"v1", "v2"}
+NONE: frozenset[str] = frozenset()
 
 
 def record(phase: Phase, number: int = 7) -> rollouts.PhaseRecord:
@@ -40,7 +41,7 @@
     versions = []
     for number in range(count):
         now = 1.0 + number / 100
-        chosen = book.choose("llm", BOTH, session, now)
+        chosen = book.choose("llm", BOTH, session, NONE, now)
         version = min(chosen)
         book.note_sent("llm", version, session, now)
         versions.append(version)
@@ -76,8 +77,8 @@
     for number in range(200):
         session = f"session {number}"
         assertions.assert_that(
-            busy.choose("llm", BOTH, session, 4.0),
-            matchers.Equals(idle.choose("llm", BOTH, session, 4.0)),
+            busy.choose("llm", BOTH, session, NONE, 4.0),
+            matchers.Equals(idle.choose("llm", BOTH, session, NONE, 4.0)),
         )
 
 
@@ -89,7 +90,7 @@
     book.take_order(ORDER, 0.6)
     send(book, 100)
     for session in sessions:
-        chosen = book.choose("llm", BOTH, session, 3.0)
+        chosen = book.choose("llm", BOTH, session, NONE, 3.0)
         assertions.assert_that(chosen, matchers.Equals({"v1"}))
 
 
@@ -102,6 +103,16 @@
     assertions.assert_that(set(send(book, 100)), matchers.Equals({"v1"}))
 
 
+def test_a_request_that_the_trial_failed_goes_to_the_old_version(
+    book: rollouts.RolloutBook,
+) -> None:
+    book.note_sent("llm", "v2", "a session", 1.0)
+    kept = book.choose("llm", BOTH, "a session", NONE, 2.0)
+    assertions.assert_that(kept, matchers.Equals({"v2"}))
+    moved = book.choose("llm", BOTH, "a session", frozenset({"v2"}), 2.0)
+    assertions.assert_that(moved, matchers.Equals({"v1"}))
+
+
 @pytest.mark.parametrize(
     ("phase", "expected"),
     [
@@ -114,7 +125,7 @@
     book: rollouts.RolloutBook, phase: Phase, expected: set[str]
 ) -> None:
     book.take_phase(record(phase))
-    chosen = book.choose("llm", BOTH, "", 1.0)
+    chosen = book.choose("llm", BOTH, "", NONE, 1.0)
     assertions.assert_that(chosen, matchers.Equals(expected))
 
 
@@ -123,7 +134,7 @@
 ) -> None:
     book.take_phase(record(Phase.REVERTED))
     book.take_order(rollouts.Order("llm", "v3", 20.0, 9), 5.0)
-    chosen = book.choose("llm", {"v1", "v2"}, "", 6.0)
+    chosen = book.choose("llm", {"v1", "v2"}, "", NONE, 6.0)
     assertions.assert_that(chosen, matchers.Equals({"v1"}))
 
 
