--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -25,7 +25,9 @@
 FAILURE_SLACK = 0.1  # this share more, make a version bad.
 SLOW_PACE = 3.5  # Times the usual duration that make an answer slow.
 SLOW_SHARE = 0.35  # Share of slow answers, above the old one's, that is bad.
-ACTOR_LIFE = 3.0  # Seconds after its last evidence that a host has its turn.
+# Seconds after its last evidence that a host has its turn; hosts that only
+# look now and then must still know of it.
+ACTOR_LIFE = 8.0
 TURN = 0.6  # Seconds that each host waits for those before it.
 
 
@@ -178,11 +180,16 @@
 
 def turn_of(host: str, hosts: list[str], number: int) -> float:
     """Returns the seconds that ``host`` waits before it writes a phase."""
+    return rank_of(host, hosts, number) * TURN
 
-    def rank(name: str) -> int:
+
+def rank_of(host: str, hosts: list[str], number: int) -> int:
+    """Returns the place of ``host`` in the order of turns, from 0."""
+
+    def digest(name: str) -> int:
         return xxhash.xxh64_intdigest(f"{number} {name}".encode())
 
-    return sorted({*hosts, host}, key=rank).index(host) * TURN
+    return sorted({*hosts, host}, key=digest).index(host)
 
 
 @attrs.define
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -17,6 +17,11 @@
 
 PERIOD = 1.0  # Seconds between two looks; a roll-back has five.
 TELL_EVERY = 1.0  # Seconds between two tellings of this host's counts.
+# Hosts at the front of the order of turns that read all counts each time, and
+# the seconds between two reads of the others: what is read grows with the
+# square of the hosts if all of them read.
+READERS = 3
+OTHERS_READ_EVERY = 4.0
 
 
 class RolloutTask:
@@ -49,8 +54,9 @@
             state, "evidence", topics.evidence, self._heard, wait=0.0, pause=0.0
         )
         self._due_since: dict[rollouts.PhaseRecord, float] = {}
-        self._told: dict[str, rollouts.Evidence] = {}
+        self._told: dict[str, bytes] = {}
         self._told_at = float("-inf")
+        self._read_at = float("-inf")
         self._status_written: dict[str, rollouts.PhaseRecord] = {}
 
     async def run(self) -> None:
@@ -93,7 +99,9 @@
             self._told_at = now
             for progress in active:
                 await self._tell(progress)
-        await self._evidence.read_once()
+        if self._is_reader(active) or now - self._read_at >= OTHERS_READ_EVERY:
+            self._read_at = now
+            await self._evidence.read_once()
         for progress in active:
             await self._advance(progress)
             await self._write_status(progress)
@@ -104,9 +112,24 @@
             order.service, order.number, self._run_name, progress.counts
         )
         data = rollout_codec.encode(evidence)
+        if self._told.get(order.service) == data:
+            return
         await self._topics.evidence.put(
             f"{order.service}/{self._run_name}", data
         )
+        self._told[order.service] = data
+
+    def _is_reader(self, active: list[rollouts.Progress]) -> bool:
+        """Returns whether this host may soon have to write a phase."""
+        return any(
+            rollouts.rank_of(
+                self._run_name,
+                self._heard.live_hosts(progress.order),
+                progress.order.number,
+            )
+            < READERS
+            for progress in active
+        )
 
     async def _advance(self, progress: rollouts.Progress) -> None:
         order = progress.order
