Have hosts of a failure domain learn from one another what the store says

Ruled out: longer waits alone (a lease of 5 s and entries within 2 s leave a factor of two). Change: each host lists itself; those after the first of their failure domain, in an order that a hash gives, ask the first two before the store. A copy tells its age, counted from before the question, so a lease that rests on it ends no later than at the source. Older news never undoes newer.

--- /dev/null
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -0,0 +1,164 @@
+"""What a host passes on of the topics that it reads, and whom it asks.
+
+Few hosts of each failure domain read the store; the others ask these. A copy
+tells how long ago it was known to be current, so a lease that rests on it
+ends as early as it would at the source.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+KEPT = 512  # Changes of a topic that are passed on one by one.
+# Hosts asked before the store is: each may cost a timeout.
+ASKED = 2
+FIRST_REST = 2.0  # Seconds for which a host that failed is not asked.
+LONGEST_REST = 30.0
+
+
+@attrs.frozen
+class Host:
+    """A relay as the others know it.
+
+    Attributes:
+        name: Of its host.
+        zone: Its failure domain.
+        address: ``ip:port`` for the other relays.
+    """
+
+    name: str
+    zone: str
+    address: str
+
+
+@attrs.frozen
+class Change:
+    """One record of a topic; no value means that the key was dropped."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@attrs.frozen
+class Copy:
+    """Part of a topic that is passed on.
+
+    Attributes:
+        changes: In order.
+        next_offset: Where to read on.
+        is_snapshot: Whether keys that are not in it do not exist.
+    """
+
+    changes: tuple[Change, ...]
+    next_offset: int
+    is_snapshot: bool
+
+
+class TopicMirror:
+    """One topic as this host knows it.
+
+    Attributes:
+        next_offset: Where it ends; None before the first read.
+    """
+
+    def __init__(self) -> None:
+        self.next_offset: int | None = None
+        self._newest: dict[str, Change] = {}
+        self._recent: collections.deque[Change] = collections.deque(maxlen=KEPT)
+        self._recent_from = 0
+
+    def take(
+        self, changes: Iterable[Change], next_offset: int, *, is_snapshot: bool
+    ) -> None:
+        """Takes what was read."""
+        if is_snapshot:
+            self._newest = {}
+            self._recent.clear()
+            self._recent_from = next_offset
+        for change in changes:
+            self._newest.pop(change.key, None)
+            if change.value is not None:
+                self._newest[change.key] = change
+            if not is_snapshot:
+                self._add(change)
+        self.next_offset = next_offset
+
+    def _add(self, change: Change) -> None:
+        if len(self._recent) == KEPT:
+            self._recent_from = self._recent[0].offset + 1
+        self._recent.append(change)
+
+    def copy_from(self, offset: int | None) -> Copy | None:
+        """Returns what is new since ``offset``; None if nothing was read.
+
+        Args:
+            offset: Where the other host reads on; None for everything.
+        """
+        if self.next_offset is None:
+            return None
+        if (
+            offset is None
+            or not self._recent_from <= offset <= self.next_offset
+        ):
+            newest = tuple(self._newest.values())
+            return Copy(newest, self.next_offset, is_snapshot=True)
+        new = tuple(each for each in self._recent if each.offset >= offset)
+        return Copy(new, self.next_offset, is_snapshot=False)
+
+
+class Sources:
+    """Whom this host asks before it reads the store itself.
+
+    Attributes:
+        own: Name of this host.
+        zone: Its failure domain.
+        hosts: All hosts that were ever listed, by name.
+    """
+
+    def __init__(self, own: str, zone: str) -> None:
+        self.own = own
+        self.zone = zone
+        self.hosts: dict[str, Host] = {}
+        self._rests: dict[str, tuple[float, float]] = {}
+
+    def put(self, host: Host) -> None:
+        """Takes a host's entry; a new one is asked again at once."""
+        if self.hosts.get(host.name) != host:
+            self._rests.pop(host.name, None)
+        self.hosts[host.name] = host
+
+    def candidates(self, now: float) -> list[Host]:
+        """Returns the hosts to ask, best first; none to read the store.
+
+        They stand before this host in an order that all hosts of the failure
+        domain share, so nobody waits for one that waits for it.
+        """
+        ranked = sorted(
+            (host for host in self.hosts.values() if host.zone == self.zone),
+            key=lambda host: xxhash.xxh64_intdigest(host.name.encode()),
+        )
+        before: list[Host] = []
+        for host in ranked:
+            if host.name == self.own:
+                break
+            if self._rests.get(host.name, (0.0, 0.0))[0] <= now:
+                before.append(host)
+        return before[:ASKED]
+
+    def note_failed(self, name: str, now: float) -> None:
+        """Has a host rest that did not answer, or with nothing current."""
+        _, rest = self._rests.get(name, (0.0, FIRST_REST / 2))
+        rest = min(LONGEST_REST, 2 * rest)
+        self._rests[name] = (now + rest, rest)
+
+    def note_answered(self, name: str) -> None:
+        """Notes that a host answered with something current."""
+        self._rests.pop(name, None)
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -50,6 +50,7 @@
         listen=fields["listen"]["frontend"],
         ready_listen=fields["listen"]["ready"],
         metrics_listen=f"{fields['ip']}:{first_port}",
+        peer_listen=f"{fields['ip']}:{first_port + 1}",
         revocation=bounds["revoke_ms"] / _MS,
         stop_timeout=bounds["grace_s"],
         repeat_ratio=bounds["retry_budget_ratio"],
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -163,4 +163,5 @@
         status=StoreTopic(session, address, "keyed.status"),
         phases=StoreTopic(session, address, "keyed.rollout-phases"),
         evidence=StoreTopic(session, address, "keyed.rollout-evidence"),
+        hosts=StoreTopic(session, address, "keyed.relay-hosts"),
     )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -13,6 +13,7 @@
 from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import sessions
 from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import mirror
 from hoistmoor.core.relay import router as router_lib
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import admission
@@ -21,6 +22,7 @@
 from hoistmoor.relay import follower
 from hoistmoor.relay import front as front_lib
 from hoistmoor.relay import listeners
+from hoistmoor.relay import peers
 from hoistmoor.relay import relay_task
 from hoistmoor.relay import rollout_task
 from hoistmoor.relay import state as state_lib
@@ -41,13 +43,13 @@
 STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
 # Seconds that a read of the operators' topic may be held back, and the pause
 # after it: together they are the age of a configuration known to be current.
-OPERATOR_WAIT = 1.2
-OPERATOR_PAUSE = 0.05
+OPERATOR_WAIT = 1.0
+SHORT_PAUSE = 0.05
 # Entries change many times a second; a pause reads several at once.
 SERVERS_WAIT = 1.0
-SERVERS_PAUSE = 0.8
-PHASES_WAIT = 5.0
-PHASES_PAUSE = 0.05
+SERVERS_PAUSE = 0.7
+# Topics that seldom change, and of whose change nobody need hear at once.
+SLOW_WAIT = 5.0
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
 UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
 LARGEST_LINE = 16384  # Bytes of one line of a request's head.
@@ -61,7 +63,9 @@
         settings: Its settings.
         state: What it knows.
         front: Serves callers.
-        addresses: ``ip:port`` of each listener: callers, balancer, metrics.
+        followers: Read the topics, by name.
+        addresses: ``ip:port`` of each listener: callers, balancer, metrics,
+            other relays.
     """
 
     def __init__(
@@ -69,6 +73,7 @@
         settings: settings_lib.RelaySettings,
         platform: ports.Platform,
         session: aiohttp.ClientSession,
+        peer_session: aiohttp.ClientSession,
     ) -> None:
         """Makes a relay; nothing runs yet.
 
@@ -76,6 +81,7 @@
             settings: Its settings.
             platform: Where it learns what it must know.
             session: Opens connections to backend servers.
+            peer_session: Opens connections to other relays.
         """
         self.settings = settings
         self.addresses: list[str] = []
@@ -106,43 +112,56 @@
             admission.Admission(self.state, platform.headers, draws),
             relay_task.Links(session, platform.headers, dialect),
         )
-        self._make_tasks(platform, f"{settings.host}-{seed:016x}")
+        self._make_followers(platform)
+        self._make_tasks(platform, f"{settings.host}-{seed:016x}", peer_session)
 
-    def _make_tasks(self, platform: ports.Platform, run_name: str) -> None:
+    def _make_followers(self, platform: ports.Platform) -> None:
         state, topics = self.state, platform.topics
+        self._sources = mirror.Sources(self.settings.host, self.settings.zone)
         operator = listeners.OperatorListener(state, platform.codec)
         servers = listeners.ServerListener(state, platform.codec)
-        phases = follower.TopicFollower(
-            state,
-            "phases",
-            topics.phases,
-            listeners.PhaseListener(state),
-            wait=PHASES_WAIT,
-            pause=PHASES_PAUSE,
-        )
-        self._loops = {
-            "operator": follower.TopicFollower(
-                state,
-                "operator",
-                topics.operator,
-                operator,
-                wait=OPERATOR_WAIT,
-                pause=OPERATOR_PAUSE,
-            ).run,
-            "servers": follower.TopicFollower(
-                state,
-                "servers",
-                topics.servers,
-                servers,
-                wait=SERVERS_WAIT,
-                pause=SERVERS_PAUSE,
-            ).run,
-            "phases": phases.run,
-            "rollouts": rollout_task.RolloutTask(
-                state, topics, platform.codec, run_name, phases
-            ).run,
+        phases = listeners.PhaseListener(state)
+        hosts = peers.HostListener(state, self._sources)
+        plan: list[
+            tuple[str, ports.KeyedTopic, follower.Listener, float, float]
+        ] = [
+            ("operator", topics.operator, operator, OPERATOR_WAIT, SHORT_PAUSE),
+            ("servers", topics.servers, servers, SERVERS_WAIT, SERVERS_PAUSE),
+            ("phases", topics.phases, phases, SLOW_WAIT, SHORT_PAUSE),
+            ("hosts", topics.hosts, hosts, SLOW_WAIT, SHORT_PAUSE),
+        ]
+        self.followers = {
+            name: follower.TopicFollower(
+                state, name, topic, listener, wait=wait, pause=pause
+            )
+            for name, topic, listener, wait, pause in plan
         }
 
+    def _make_tasks(
+        self,
+        platform: ports.Platform,
+        run_name: str,
+        peer_session: aiohttp.ClientSession,
+    ) -> None:
+        settings = self.settings
+        self._loops = {name: each.run for name, each in self.followers.items()}
+        self._loops["rollouts"] = rollout_task.RolloutTask(
+            self.state,
+            platform.topics,
+            platform.codec,
+            run_name,
+            self.followers["phases"],
+        ).run
+        if not settings.peer_listen:
+            return
+        own = mirror.Host(settings.host, settings.zone, settings.peer_listen)
+        self._loops["listing"] = peers.SelfListing(
+            self.state, platform.topics.hosts, own
+        ).run
+        self._loops["peers"] = peers.PeerReader(
+            self.state, self._sources, self.followers, peer_session
+        ).run
+
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then stops gracefully."""
         runners = await self._listen()
@@ -179,6 +198,9 @@
         if settings.metrics_listen:
             metrics = front_lib.MetricsPage(self.state)
             pages.append((settings.metrics_listen, metrics.handle))
+        if settings.peer_listen:
+            answers = peers.PeerAnswers(self.state, self.followers)
+            pages.append((settings.peer_listen, answers.handle))
         runners = []
         for address, handler in pages:
             server = web.Server(
@@ -236,4 +258,5 @@
             attempt_header=platform.headers.request_id,
             unanswered_timeout=UNANSWERED,
         ) as session:
-            await Relay(settings, platform, session).serve(stop)
+            relay = Relay(settings, platform, session, platform_session)
+            await relay.serve(stop)
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -8,6 +8,7 @@
 import attrs
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay import mirror as mirror_lib
 from hoistmoor.relay import ports
 
 if TYPE_CHECKING:
@@ -48,6 +49,8 @@
     Attributes:
         name: Of the topic, in log lines.
         next_offset: Where it reads on; None before a snapshot.
+        mirror: The topic as this host knows it.
+        direct: Set while this host reads the store itself.
     """
 
     def __init__(
@@ -72,6 +75,9 @@
         """
         self.name = name
         self.next_offset: int | None = None
+        self.mirror = mirror_lib.TopicMirror()
+        self.direct = asyncio.Event()
+        self.direct.set()
         self._state = state
         self._topic = topic
         self._listener = listener
@@ -84,6 +90,7 @@
     async def run(self) -> None:
         """Reads until cancelled."""
         while True:
+            await self.direct.wait()
             try:
                 await self.read_once()
             except errors.LogOffsetExpiredError as error:
@@ -104,18 +111,50 @@
         # A store that may be away is asked for a quick answer, so that its
         # return shows at once.
         wait = self._wait if self._lost_at is None else 0.0
-        if self.next_offset is None:
+        asked_from = self.next_offset
+        if asked_from is None:
             batch = await self._topic.newest()
         else:
-            batch = await self._topic.changes(self.next_offset, wait)
+            batch = await self._topic.changes(asked_from, wait)
         self._note_heard()
-        self.next_offset = batch.next_offset
-        after_outage = self._state.clock() - self._regained_at
+        if self._was_overtaken(asked_from, batch):
+            return
         current_at = sent_at
         was_held = self._state.clock() - sent_at >= wait
         if was_held and not batch.records and not batch.is_snapshot:
             current_at += wait
-        self._listener(Update(batch, current_at, after_outage))
+        self.take(Update(batch, current_at, self.after_outage))
+
+    def _was_overtaken(
+        self, asked_from: int | None, batch: ports.Batch
+    ) -> bool:
+        """Returns whether another host's copy came meanwhile with more.
+
+        Older news must not undo it, not even for a moment.
+        """
+        known = self.next_offset
+        if known is None or known == asked_from:
+            return False
+        return batch.next_offset < known
+
+    @property
+    def after_outage(self) -> float:
+        """Seconds since the store was heard again."""
+        return self._state.clock() - self._regained_at
+
+    def take(self, update: Update) -> None:
+        """Takes what was read, here or by another host, and tells of it."""
+        batch = update.batch
+        self.next_offset = batch.next_offset
+        self.mirror.take(
+            (
+                mirror_lib.Change(each.key, each.value, each.offset)
+                for each in batch.records
+            ),
+            batch.next_offset,
+            is_snapshot=batch.is_snapshot,
+        )
+        self._listener(update)
         self._state.topics_read.add(self.name)
 
     def _note_lost(self, error: errors.HoistmoorError) -> None:
--- /dev/null
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -0,0 +1,92 @@
+"""What relays say to one another, as JSON over HTTP."""
+
+from __future__ import annotations
+
+import base64
+from typing import TypeVar
+
+import attrs
+import cattrs
+import orjson
+
+from hoistmoor.core.relay import mirror
+
+_T = TypeVar("_T")
+
+
+@attrs.frozen
+class TopicCopy:
+    """One topic in an answer.
+
+    Attributes:
+        copy: The part that is passed on.
+        after_outage: Seconds since the store was heard again there.
+    """
+
+    copy: mirror.Copy
+    after_outage: float
+
+
+@attrs.frozen
+class CopyRequest:
+    """Asks for what is new.
+
+    Attributes:
+        offsets: Where to read on, by topic; None for everything.
+    """
+
+    offsets: dict[str, int | None]
+
+
+@attrs.frozen
+class CopyAnswer:
+    """What is new.
+
+    Attributes:
+        age: Seconds since the configuration was known current there.
+        topics: By name; topics that were not read yet are left out.
+    """
+
+    age: float
+    topics: dict[str, TopicCopy]
+
+
+def _make_converter() -> cattrs.Converter:
+    made = cattrs.Converter()
+    made.register_unstructure_hook(
+        bytes, lambda value: base64.b64encode(value).decode()
+    )
+    made.register_structure_hook(
+        bytes, lambda value, _: base64.b64decode(value)
+    )
+    return made
+
+
+_CONVERTER = _make_converter()
+
+
+def encode(message: CopyRequest | CopyAnswer | mirror.Host) -> bytes:
+    """Returns a message's bytes."""
+    return orjson.dumps(_CONVERTER.unstructure(message))
+
+
+def decode_request(data: bytes) -> CopyRequest:
+    """Returns a request; raises ``ValueError`` for other bytes."""
+    return _decode(data, CopyRequest)
+
+
+def decode_answer(data: bytes) -> CopyAnswer:
+    """Returns an answer; raises ``ValueError`` for other bytes."""
+    return _decode(data, CopyAnswer)
+
+
+def decode_host(data: bytes) -> mirror.Host:
+    """Returns a host's entry; raises ``ValueError`` for other bytes."""
+    return _decode(data, mirror.Host)
+
+
+def _decode(data: bytes, kind: type[_T]) -> _T:
+    try:
+        return _CONVERTER.structure(orjson.loads(data), kind)
+    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
--- /dev/null
+++ b/src/hoistmoor/relay/peers.py
@@ -0,0 +1,215 @@
+"""Relays that ask one another for what the store says.
+
+Each host lists itself on a topic of the store at its start. A host asks those
+before it in the shared order; if none has anything current, it reads the
+store itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from hoistmoor.clients import replies
+from hoistmoor.core import errors
+from hoistmoor.relay import follower as follower_lib
+from hoistmoor.relay import peer_codec
+from hoistmoor.relay import ports
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay import mirror
+    from hoistmoor.relay import state as state_lib
+
+PERIOD = 0.4  # Seconds between two questions.
+TIMEOUT = 0.3  # Seconds for an answer; hosts of one failure domain are near.
+# Age of a configuration above which a copy is not current enough. A host that
+# reads the store itself stays below 1.1 s.
+OLDEST = 1.5
+LIST_RETRY = 0.5  # Seconds until a host tries again to list itself.
+MAX_QUESTION = 4096  # Bytes.
+
+
+class HostListener:
+    """Takes the hosts' own entries."""
+
+    def __init__(
+        self, state: state_lib.RelayState, sources: mirror.Sources
+    ) -> None:
+        self._state = state
+        self._sources = sources
+
+    def __call__(self, update: follower_lib.Update) -> None:
+        """Takes one update."""
+        for record in update.batch.records:
+            if record.value is None:
+                continue
+            try:
+                self._sources.put(peer_codec.decode_host(record.value))
+            except ValueError as error:
+                self._state.log.write(
+                    "host_unreadable", key=record.key, detail=str(error)
+                )
+
+
+class PeerAnswers:
+    """Answers other hosts."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        followers: dict[str, follower_lib.TopicFollower],
+    ) -> None:
+        self._state = state
+        self._followers = followers
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one question."""
+        try:
+            asked = peer_codec.decode_request(await request.read())
+        except ValueError:
+            return web.Response(status=400)
+        return web.Response(body=peer_codec.encode(self.answer(asked)))
+
+    def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
+        """Returns what is new to the other host."""
+        topics = {}
+        for name, offset in asked.offsets.items():
+            follower = self._followers.get(name)
+            copy = follower.mirror.copy_from(offset) if follower else None
+            if follower is not None and copy is not None:
+                outage = min(follower.after_outage, 1e9)
+                topics[name] = peer_codec.TopicCopy(copy, outage)
+        age = min(self._state.lease.age(self._state.clock()), 1e9)
+        return peer_codec.CopyAnswer(age, topics)
+
+
+class PeerReader:
+    """Asks other hosts, and switches the followers to the store if need be."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        sources: mirror.Sources,
+        followers: dict[str, follower_lib.TopicFollower],
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._state = state
+        self._sources = sources
+        self._followers = followers
+        self._session = session
+        self._source = ""
+
+    async def run(self) -> None:
+        """Asks until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD)
+            # Before its first snapshot a host reads the store: that is there
+            # also when all hosts start at once.
+            if len(self._state.topics_read) < len(self._followers):
+                continue
+            found = await self._ask_any()
+            if found != self._source:
+                self._source = found
+                self._state.believe("source", host=found or "store")
+            for follower in self._followers.values():
+                if found:
+                    follower.direct.clear()
+                else:
+                    follower.direct.set()
+
+    async def _ask_any(self) -> str:
+        """Returns the host that answered with something current, or empty."""
+        for host in self._sources.candidates(self._state.clock()):
+            if await self._ask(host):
+                self._sources.note_answered(host.name)
+                return host.name
+            self._sources.note_failed(host.name, self._state.clock())
+        return ""
+
+    async def _ask(self, host: mirror.Host) -> bool:
+        asked = peer_codec.CopyRequest(
+            {name: each.next_offset for name, each in self._followers.items()}
+        )
+        sent_at = self._state.clock()
+        try:
+            answer = await self._exchange(host, peer_codec.encode(asked))
+        except (*replies.TRANSPORT_ERRORS, ValueError) as error:
+            self._state.log.write(
+                "host_silent", peer=host.name, detail=repr(error)
+            )
+            return False
+        if answer.age + self._state.clock() - sent_at > OLDEST:
+            self._state.log.write(
+                "host_stale", peer=host.name, age=round(answer.age, 3)
+            )
+            return False
+        self._take(answer, sent_at)
+        return True
+
+    async def _exchange(
+        self, host: mirror.Host, question: bytes
+    ) -> peer_codec.CopyAnswer:
+        async with self._session.post(
+            f"http://{host.address}/topics",
+            data=question,
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT),
+        ) as reply:
+            return peer_codec.decode_answer(await reply.read())
+
+    def _take(self, answer: peer_codec.CopyAnswer, sent_at: float) -> None:
+        for name, topic in answer.topics.items():
+            follower = self._followers.get(name)
+            # A read of the store that is under way may have gone further.
+            if follower is None or _is_behind(follower, topic.copy):
+                continue
+            batch = ports.Batch(
+                tuple(
+                    ports.Record(each.key, each.value, each.offset)
+                    for each in topic.copy.changes
+                ),
+                topic.copy.next_offset,
+                topic.copy.is_snapshot,
+            )
+            # The answer was made after the question was sent, and its age
+            # counts from when it was made.
+            follower.take(
+                follower_lib.Update(
+                    batch, sent_at - answer.age, topic.after_outage
+                )
+            )
+
+
+def _is_behind(follower: follower_lib.TopicFollower, copy: mirror.Copy) -> bool:
+    known = follower.next_offset
+    return known is not None and copy.next_offset < known
+
+
+class SelfListing:
+    """Lists this host once, so that others may ask it."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        topic: ports.KeyedTopic,
+        host: mirror.Host,
+    ) -> None:
+        self._state = state
+        self._topic = topic
+        self._host = host
+
+    async def run(self) -> None:
+        """Returns once the host is listed."""
+        entry = peer_codec.encode(self._host)
+        while not self._state.is_ready():
+            await asyncio.sleep(LIST_RETRY)
+        while True:
+            try:
+                await self._topic.put(self._host.name, entry)
+            except errors.HoistmoorError as error:
+                self._state.log.write("listing_waits", detail=error.problem)
+                await asyncio.sleep(LIST_RETRY)
+            else:
+                await asyncio.Event().wait()
--- a/src/hoistmoor/relay/ports.py
+++ b/src/hoistmoor/relay/ports.py
@@ -85,6 +85,7 @@
         status: What operators read of roll-outs.
         phases: Phases of roll-outs; the relay's own.
         evidence: Counts of answers in roll-outs; the relay's own.
+        hosts: Entries of the relays themselves.
     """
 
     operator: KeyedTopic
@@ -92,6 +93,7 @@
     status: KeyedTopic
     phases: KeyedTopic
     evidence: KeyedTopic
+    hosts: KeyedTopic
 
 
 class Codec(Protocol):
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -15,6 +15,8 @@
         listen: ``ip:port`` for callers.
         ready_listen: ``ip:port`` for the balancer's question.
         metrics_listen: ``ip:port`` for metrics; empty for none.
+        peer_listen: ``ip:port`` for the other relays; empty to ask none and
+            be asked by none.
         revocation: Seconds within which a key taken away must be refused.
         stop_timeout: Seconds from a stop signal to the end by force.
         repeat_ratio: Repeats allowed for each request to a service.
@@ -28,6 +30,7 @@
     listen: str
     ready_listen: str
     metrics_listen: str = ""
+    peer_listen: str = ""
     revocation: float = 5.0
     stop_timeout: float = 8.0
     repeat_ratio: float = 0.2
--- /dev/null
+++ b/tests/core/relay/test_relay_mirror.py
@@ -0,0 +1,119 @@
+"""What hosts pass on, and whom they ask."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay import mirror
+
+NAMES = [f"h{number}" for number in range(6)]
+
+
+def change(key: str, offset: int, value: bytes | None = b"v") -> mirror.Change:
+    return mirror.Change(key, value, offset)
+
+
+@given(
+    keys=st.lists(
+        st.tuples(st.sampled_from("abc"), st.booleans()), max_size=30
+    ),
+    asked=st.integers(0, 30),
+    split=st.integers(0, 30),
+)
+def test_a_copy_brings_any_host_to_the_same_state(
+    keys: list[tuple[str, bool]], asked: int, split: int
+) -> None:
+    changes = [
+        change(key, at, b"%d" % at if kept else None)
+        for at, (key, kept) in enumerate(keys)
+    ]
+    source = mirror.TopicMirror()
+    source.take(changes[:split], len(changes[:split]), is_snapshot=False)
+    source.take(changes[split:], len(changes), is_snapshot=False)
+    asked = min(asked, len(changes))
+    state = {each.key: each.value for each in changes[:asked]}
+    copy = source.copy_from(asked)
+    assert copy is not None
+    if copy.is_snapshot:
+        state = {}
+    state.update({each.key: each.value for each in copy.changes})
+    expected = {each.key: each.value for each in changes}
+    kept = {key: value for key, value in state.items() if value is not None}
+    due = {key: value for key, value in expected.items() if value is not None}
+    assertions.assert_that(kept, matchers.Equals(due))
+    assertions.assert_that(copy.next_offset, matchers.Equals(len(changes)))
+
+
+def test_a_host_far_behind_gets_a_snapshot() -> None:
+    source = mirror.TopicMirror()
+    assertions.assert_that(source.copy_from(None), matchers.Is(None))
+    source.take([change("a", 3)], 10, is_snapshot=True)
+    source.take(
+        [change(f"k{at}", at) for at in range(10, 10 + 2 * mirror.KEPT)],
+        10 + 2 * mirror.KEPT,
+        is_snapshot=False,
+    )
+    for asked in (None, 0, 9, 20):
+        copy = source.copy_from(asked)
+        assert copy is not None
+        assertions.assert_that(copy.is_snapshot, matchers.Is(True))
+        assertions.assert_that(
+            copy.changes, matchers.HasLength(2 * mirror.KEPT + 1)
+        )
+    copy = source.copy_from(10 + 2 * mirror.KEPT - 5)
+    assert copy is not None
+    assertions.assert_that(copy.is_snapshot, matchers.Is(False))
+    assertions.assert_that(copy.changes, matchers.HasLength(5))
+
+
+@pytest.fixture
+def all_sources() -> dict[str, mirror.Sources]:
+    """The sources of six hosts of one failure domain."""
+    made = {name: mirror.Sources(name, "z") for name in NAMES}
+    for sources in made.values():
+        for name in NAMES:
+            sources.put(mirror.Host(name, "z", f"127.0.0.1:{name[1:]}"))
+        sources.put(mirror.Host("far", "other", "127.0.0.1:99"))
+    return made
+
+
+def test_one_host_reads_and_nobody_asks_in_a_circle(
+    all_sources: dict[str, mirror.Sources],
+) -> None:
+    asked = {
+        name: [host.name for host in sources.candidates(0.0)]
+        for name, sources in all_sources.items()
+    }
+    readers = [name for name, hosts in asked.items() if not hosts]
+    assertions.assert_that(readers, matchers.HasLength(1))
+    for name in NAMES:
+        path = [name]
+        while asked[path[-1]]:
+            path.append(asked[path[-1]][0])
+        assertions.assert_that(set(path), matchers.HasLength(len(path)))
+        assertions.assert_that(path[-1], matchers.Equals(readers[0]))
+
+
+def test_a_host_that_fails_rests_longer_each_time(
+    all_sources: dict[str, mirror.Sources],
+) -> None:
+    sources = next(
+        each for each in all_sources.values() if len(each.candidates(0.0)) > 1
+    )
+    first, second = sources.candidates(0.0)[:2]
+    sources.note_failed(first.name, 0.0)
+    left = [host.name for host in sources.candidates(1.0)]
+    assertions.assert_that(left[0], matchers.Equals(second.name))
+    back = [host.name for host in sources.candidates(2.1)]
+    assertions.assert_that(back[0], matchers.Equals(first.name))
+    sources.note_failed(first.name, 2.1)
+    left = [host.name for host in sources.candidates(5.0)]
+    assertions.assert_that(first.name in left, matchers.Is(False))
+    # A new run of the host is worth asking at once.
+    sources.put(mirror.Host(first.name, "z", "127.0.0.1:777"))
+    back = [host.name for host in sources.candidates(5.0)]
+    assertions.assert_that(back[0], matchers.Equals(first.name))
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -150,7 +150,9 @@
             )
         )
         caller = await stack.enter_async_context(aiohttp.ClientSession())
-        relay = application.Relay(settings, platform.as_port(), session)
+        relay = application.Relay(
+            settings, platform.as_port(), session, session
+        )
         task = asyncio.create_task(relay.serve(stop))
         async with asyncio.timeout(PATIENCE):
             while len(relay.addresses) < 2:
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -117,12 +117,18 @@
     status: MemoryTopic = attrs.field(factory=MemoryTopic)
     phases: MemoryTopic = attrs.field(factory=MemoryTopic)
     evidence: MemoryTopic = attrs.field(factory=MemoryTopic)
+    hosts: MemoryTopic = attrs.field(factory=MemoryTopic)
     codec: NamedCodec = attrs.field(factory=NamedCodec)
 
     def as_port(self) -> ports.Platform:
         """Returns the platform as a relay sees it."""
         topics = ports.Topics(
-            self.operator, self.servers, self.status, self.phases, self.evidence
+            self.operator,
+            self.servers,
+            self.status,
+            self.phases,
+            self.evidence,
+            self.hosts,
         )
         return ports.Platform(
             topics,
