Leave time for a small model's answer where the large one stays silent

Ruled out: more attempts (the budget and the route's attempts were not used up). Change: a silent stream may take half of the time left; where the largest model was silent, the smallest is asked and its answer is taken.

--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/machine.py
@@ -29,6 +29,8 @@
 # A silent server is given up after so many times the route's target, if the
 # request may run again: the caller still gets its answer from another one.
 PATIENCE_FACTOR = 3.0
+# Part of the time left that a silent stream may take: the rest is for another.
+PATIENCE_SHARE = 0.5
 LEAST_PATIENCE = 0.3  # Seconds, for routes with a very short target.
 LEAST_TIME = 0.02  # Seconds left under which an attempt makes no sense.
 
@@ -66,6 +68,7 @@
         self._declined = 0
         self._begun = False  # Whether the caller has part of an answer.
         self._escalating = False
+        self._settled = False  # Whether a small answer will do by now.
         self._excluded: frozenset[str] = frozenset()
         self._failed_versions: frozenset[str] = frozenset()
         self._detail = ""
@@ -101,6 +104,8 @@
     def _better_model(self, confidence: float | None, now: float) -> str | None:
         request = self.request
         chooses = request.prompt and request.prompt.model == cascade.ANY_MODEL
+        if self._settled:
+            return None
         if not chooses or self._runs + 1 >= request.route.max_attempts:
             return None
         if not request.route.may_run_again:
@@ -131,12 +136,25 @@
         can_deliver = event.state is _State.ANSWERED and not self._begun
         self._excluded |= {self.server.entry.server_id}
         self._detail = event.detail or f"status {event.status}"
+        self._settle_for_small(event.state)
         if self._may_try_again(event.state, now):
             return self._send(now, _REASON_BY_STATE[event.state])
         if can_deliver:
             return messages.Deliver()
         return self._give_up(_REASON_BY_STATE[event.state])
 
+    def _settle_for_small(self, state: outcomes.ExchangeState) -> None:
+        """Goes back to the smallest model where the largest stays silent.
+
+        What time is left is better spent on an answer that comes.
+        """
+        if self._begun or state is not _State.SENT:
+            return
+        first = _first_model(self.request)
+        if self.model != first:
+            self.model = first
+            self._settled = True
+
     def _is_failure(self, event: messages.AttemptEnded) -> bool:
         """Returns whether a whole answer is not what the caller waits for.
 
@@ -199,20 +217,22 @@
             work_class,
             self._router.begin_attempt(self.request, work_class, now),
             self.request.deadline,
-            self._patience(),
+            self._patience(now),
         )
         self._router.note_sent(self.request, send, self.sent > 0, now)
         self.sent += 1
         self.server = server
         return send
 
-    def _patience(self) -> float | None:
+    def _patience(self, now: float) -> float | None:
         route = self.request.route
         last = self._runs + 1 >= route.max_attempts
         if last or not route.may_run_again:
             return None
         if route.kind is configuration.RouteKind.STREAM:
-            return max(route.target, route.longest_pause) * PATIENCE_FACTOR
+            usual = max(route.target, route.longest_pause) * PATIENCE_FACTOR
+            left = self.request.deadline - now
+            return min(usual, max(LEAST_PATIENCE, left * PATIENCE_SHARE))
         return max(LEAST_PATIENCE, route.target * PATIENCE_FACTOR)
 
     def _give_up(self, reason: refusals.Reason) -> messages.Effect:
--- a/tests/core/relay/test_relay_machine.py
+++ b/tests/core/relay/test_relay_machine.py
@@ -191,3 +191,28 @@
     while isinstance(effect, messages.Send):
         effect = machine.handle(failed, NOW)
     assertions.assert_that(effect, matchers.IsInstance(messages.Break))
+
+
+def test_a_large_model_that_stays_silent_leaves_time_for_a_small_one(
+    router: router_lib.Router,
+) -> None:
+    for number in range(3):
+        router.fleet.put(relay_parts.entry(f"e{number}", service="llm"))
+    machine, first = start(router, relay_parts.CHAT)
+    assert isinstance(first, messages.Send)
+    machine.handle(messages.HeadArrived(200, 0.0), NOW)
+    large = machine.handle(messages.AttemptEnded(State.ANSWERING, 200), NOW)
+    assert isinstance(large, messages.Send)
+    assertions.assert_that(large.model, matchers.Equals("large"))
+    assert large.patience is not None
+    left = machine.request.deadline - NOW
+    assertions.assert_that(large.patience, matchers.LessThan(left / 2 + 0.01))
+    later = NOW + large.patience
+    small = machine.handle(messages.AttemptEnded(State.SENT), later)
+    assert isinstance(small, messages.Send)
+    assertions.assert_that(small.model, matchers.Equals("small"))
+    # Its answer is taken, however unsure.
+    assertions.assert_that(
+        machine.handle(messages.HeadArrived(200, 0.0), later),
+        matchers.IsInstance(messages.Pass),
+    )
