One type for records of topics, one state a service; tell counts less often

Cause: the records that are read and those that are passed on had two types alike; the router kept four maps by service. In roll-outs every host told its counts to the store each second. Change: core/relay/topics.py is the one home of records and batches; the router keeps one state a service; counts are told every 2 s, and only if the target answered more.

--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/machine.py
@@ -104,11 +104,9 @@
     def _better_model(self, confidence: float | None, now: float) -> str | None:
         request = self.request
         chooses = request.prompt and request.prompt.model == cascade.ANY_MODEL
-        if self._settled:
+        if not chooses or self._settled or not request.route.may_run_again:
             return None
-        if not chooses or self._runs + 1 >= request.route.max_attempts:
-            return None
-        if not request.route.may_run_again:
+        if self._runs + 1 >= request.route.max_attempts:
             return None
         largest = request.route.sizes[-1] if request.route.sizes else ""
         better = cascade.next_size(
@@ -180,13 +178,9 @@
             return False
         if self._declined > MAX_DECLINED:
             return False
-        # A failure that was answered whole may be asked for again as well.
-        may_run = request.route.may_run_again
-        if state is _State.ANSWERED and not may_run:
-            return False
-        if state is not _State.ANSWERED and not outcomes.may_resend(
-            state, may_run
-        ):
+        # A server's whole answer that it failed is no answer to the caller.
+        reached = _State.ANSWERING if state is _State.ANSWERED else state
+        if not outcomes.may_resend(reached, request.route.may_run_again):
             return False
         return self._router.may_repeat(request, now)
 
--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
 
 import attrs
 import xxhash
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from hoistmoor.core.relay import topics
 
 KEPT = 512  # Changes of a topic that are passed on one by one.
 # Hosts asked before the store is: each may cost a timeout.
@@ -38,30 +36,6 @@
     address: str
 
 
-@attrs.frozen
-class Change:
-    """One record of a topic; no value means that the key was dropped."""
-
-    key: str
-    value: bytes | None
-    offset: int
-
-
-@attrs.frozen
-class Copy:
-    """Part of a topic that is passed on.
-
-    Attributes:
-        changes: In order.
-        next_offset: Where to read on.
-        is_snapshot: Whether keys that are not in it do not exist.
-    """
-
-    changes: tuple[Change, ...]
-    next_offset: int
-    is_snapshot: bool
-
-
 class TopicMirror:
     """One topic as this host knows it.
 
@@ -71,32 +45,32 @@
 
     def __init__(self) -> None:
         self.next_offset: int | None = None
-        self._newest: dict[str, Change] = {}
-        self._recent: collections.deque[Change] = collections.deque(maxlen=KEPT)
+        self._newest: dict[str, topics.Record] = {}
+        self._recent: collections.deque[topics.Record] = collections.deque(
+            maxlen=KEPT
+        )
         self._recent_from = 0
 
-    def take(
-        self, changes: Iterable[Change], next_offset: int, *, is_snapshot: bool
-    ) -> None:
+    def take(self, batch: topics.Batch) -> None:
         """Takes what was read."""
-        if is_snapshot:
+        if batch.is_snapshot:
             self._newest = {}
             self._recent.clear()
-            self._recent_from = next_offset
-        for change in changes:
-            self._newest.pop(change.key, None)
-            if change.value is not None:
-                self._newest[change.key] = change
-            if not is_snapshot:
-                self._add(change)
-        self.next_offset = next_offset
-
-    def _add(self, change: Change) -> None:
+            self._recent_from = batch.next_offset
+        for record in batch.records:
+            self._newest.pop(record.key, None)
+            if record.value is not None:
+                self._newest[record.key] = record
+            if not batch.is_snapshot:
+                self._add(record)
+        self.next_offset = batch.next_offset
+
+    def _add(self, record: topics.Record) -> None:
         if len(self._recent) == KEPT:
             self._recent_from = self._recent[0].offset + 1
-        self._recent.append(change)
+        self._recent.append(record)
 
-    def copy_from(self, offset: int | None) -> Copy | None:
+    def copy_from(self, offset: int | None) -> topics.Batch | None:
         """Returns what is new since ``offset``; None if nothing was read.
 
         Args:
@@ -109,9 +83,9 @@
             or not self._recent_from <= offset <= self.next_offset
         ):
             newest = tuple(self._newest.values())
-            return Copy(newest, self.next_offset, is_snapshot=True)
+            return topics.Batch(newest, self.next_offset, is_snapshot=True)
         new = tuple(each for each in self._recent if each.offset >= offset)
-        return Copy(new, self.next_offset, is_snapshot=False)
+        return topics.Batch(new, self.next_offset)
 
 
 class Sources:
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -227,6 +227,11 @@
         tally.failures += failed
         tally.slow += slow
 
+    @property
+    def target_answers(self) -> int:
+        """Answers of the target that this host has counted."""
+        return sum(route.target.answers for route in self.counts.values())
+
     def has_local_doubt(self) -> bool:
         """Returns whether this host's own counts suffice to stop a trial."""
         return any(is_bad(route) for route in self.counts.values())
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -44,6 +44,30 @@
     session_life: float = 5.0
 
 
+@attrs.define
+class _ServiceState:
+    """What this host counts for one service.
+
+    Attributes:
+        budget: Repeats that it has earned.
+        partition: Its classes of work.
+        delays: How long its classes wait for their first part.
+        mean_work: Usual work of a request; 0 before the first.
+    """
+
+    budget: budget.RepeatBudget
+    partition: partition_lib.Partition = attrs.field(
+        factory=partition_lib.Partition
+    )
+    delays: delays_lib.FirstDelays = attrs.field(factory=delays_lib.FirstDelays)
+    mean_work: float = 0.0
+
+    def note_work(self, work: float) -> None:
+        """Takes a request's work into the mean."""
+        known = self.mean_work or work
+        self.mean_work = known + WORK_STEP * (work - known)
+
+
 class Router:
     """What this host knows of backend servers, and its choices.
 
@@ -61,20 +85,18 @@
         self.zone = zone
         self._bounds = bounds
         self._draws = draws
-        self._budgets: dict[str, budget.RepeatBudget] = {}
-        self._partitions: dict[str, partition_lib.Partition] = {}
-        self._mean_work: dict[str, float] = {}
-        self._first_delays: dict[str, delays_lib.FirstDelays] = {}
+        self._services: dict[str, _ServiceState] = {}
 
     def note_request(self, request: requests.RelayRequest, now: float) -> None:
         """Counts a caller's request, which earns its service repeats."""
-        self._budget(request.service).note_request(now)
+        service = self._service(request.service)
+        service.budget.note_request(now)
         if request.prompt is not None:
-            self._partition(request.service).note_prompt(request.prompt.tokens)
+            service.partition.note_prompt(request.prompt.tokens)
 
     def may_repeat(self, request: requests.RelayRequest, now: float) -> bool:
         """Returns whether the budget allows to send the request once more."""
-        return self._budget(request.service).allows(now)
+        return self._service(request.service).budget.allows(now)
 
     def pick(
         self,
@@ -105,13 +127,12 @@
         if request.prompt is None:
             return placement.pick(ready, self.zone, now, self._draws)
         work_class = self.class_of(request, model)
-        mean_work = self._mean_work.get(service, request.work(model))
         return placement.pick_engine(
             ready,
             request,
             model,
             partition_lib.distances(work_class, ready),
-            mean_work,
+            self._service(service).mean_work,
             now,
         )
 
@@ -119,7 +140,7 @@
         self, request: requests.RelayRequest, model: str
     ) -> partition_lib.WorkClass:
         """Returns the class of work that an attempt belongs to."""
-        return self._partition(request.service).class_of(
+        return self._service(request.service).partition.class_of(
             request.prompt.tokens if request.prompt else 0,
             model,
             request.route.sizes,
@@ -130,13 +151,13 @@
     ) -> float:
         """Returns the seconds that a model's first part should take."""
         work_class = self.class_of(request, model)
-        return self._delays(request.service).expected(work_class, now)
+        return self._service(request.service).delays.expected(work_class, now)
 
     def note_first(
         self, request: requests.RelayRequest, send: messages.Send, now: float
     ) -> None:
         """Notes that an attempt's answer began."""
-        self._delays(request.service).end(
+        self._service(request.service).delays.end(
             send.work_class, send.serial, now, answered=True
         )
 
@@ -147,7 +168,7 @@
         now: float,
     ) -> int:
         """Notes that an attempt begins to wait; returns its serial."""
-        return self._delays(request.service).begin(work_class, now)
+        return self._service(request.service).delays.begin(work_class, now)
 
     def note_sent(
         self,
@@ -163,14 +184,12 @@
             work = request.work(send.model)
             server.work += work
             server.note_work(work)
-            mean = self._mean_work.get(request.service, work)
-            step = WORK_STEP * (work - mean)
-            self._mean_work[request.service] = mean + step
+            self._service(request.service).note_work(work)
         self.rollouts.note_sent(
             request.service, server.entry.version, request.session, now
         )
         if is_repeat:
-            self._budget(request.service).note_repeat(now)
+            self._service(request.service).budget.note_repeat(now)
 
     def note_ended(
         self,
@@ -193,7 +212,7 @@
                 request.session, server.entry.version, now
             )
         server.in_flight -= 1
-        self._delays(request.service).end(
+        self._service(request.service).delays.end(
             send.work_class, send.serial, now, answered=False
         )
         if request.prompt is not None:
@@ -231,19 +250,16 @@
                 slow,
             )
 
-    def _partition(self, service: str) -> partition_lib.Partition:
-        return self._partitions.setdefault(service, partition_lib.Partition())
-
-    def _delays(self, service: str) -> delays_lib.FirstDelays:
-        return self._first_delays.setdefault(service, delays_lib.FirstDelays())
-
-    def _budget(self, service: str) -> budget.RepeatBudget:
-        known = self._budgets.get(service)
+    def _service(self, name: str) -> _ServiceState:
+        known = self._services.get(name)
         if known is None:
-            known = budget.RepeatBudget(
-                self._bounds.repeat_ratio,
-                self._bounds.repeat_window,
-                self._bounds.repeat_spare,
+            bounds = self._bounds
+            known = _ServiceState(
+                budget.RepeatBudget(
+                    bounds.repeat_ratio,
+                    bounds.repeat_window,
+                    bounds.repeat_spare,
+                )
             )
-            self._budgets[service] = known
+            self._services[name] = known
         return known
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -12,7 +12,7 @@
 from hoistmoor.core.relay import rollouts
 
 if TYPE_CHECKING:
-    from hoistmoor.relay import ports
+    from hoistmoor.core.relay import topics
 
 _CONFIGURATION_KEY = "config"
 _ROLLOUT_PREFIX = "rollout/"
@@ -36,14 +36,14 @@
     """Reads operators' and servers' records, writes statuses."""
 
     def configuration(
-        self, record: ports.Record
+        self, record: topics.Record
     ) -> configuration.Configuration | None:
         """Returns the configuration, if the record holds one."""
         if record.key != _CONFIGURATION_KEY:
             return None
         return _configuration(_load(record))
 
-    def order(self, record: ports.Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> rollouts.Order | None:
         """Returns the roll-out order, if the record holds one."""
         if not record.key.startswith(_ROLLOUT_PREFIX):
             return None
@@ -55,7 +55,7 @@
             number=record.offset,
         )
 
-    def server(self, record: ports.Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns a backend server's entry."""
         fields = _load(record)
         try:
@@ -85,7 +85,7 @@
         return _ROLLOUT_PREFIX + record.service, orjson.dumps(fields)
 
 
-def _load(record: ports.Record) -> dict[str, Any]:
+def _load(record: topics.Record) -> dict[str, Any]:
     try:
         fields = orjson.loads(record.value or b"")
     except orjson.JSONDecodeError as error:
@@ -95,7 +95,7 @@
     return fields
 
 
-def _unreadable(record: ports.Record, error: Exception) -> errors.CodecError:
+def _unreadable(record: topics.Record, error: Exception) -> errors.CodecError:
     return errors.CodecError(
         f"record {record.offset} of {record.key} cannot be read: {error!r}",
         "Look at the record in the store.",
--- a/src/hoistmoor/platform/main.py
+++ b/src/hoistmoor/platform/main.py
@@ -35,7 +35,7 @@
 
     def connect(session: aiohttp.ClientSession) -> ports.Platform:
         return ports.Platform(
-            topics=store.topics(session, settings.store),
+            topics=store.open_topics(session, settings.store),
             codec=codec.PlatformCodec(),
             headers=names.HEADERS,
             not_run_statuses=names.NOT_RUN_STATUSES,
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -10,6 +10,7 @@
 
 from hoistmoor.clients import replies
 from hoistmoor.core import errors
+from hoistmoor.core.relay import topics
 from hoistmoor.relay import ports
 
 if TYPE_CHECKING:
@@ -42,9 +43,9 @@
         self._session = session
         self._base = f"http://{address}/hoistmoor/"
 
-    async def newest(self) -> ports.Batch:
+    async def newest(self) -> topics.Batch:
         """Returns the newest record of each key."""
-        records: list[ports.Record] = []
+        records: list[topics.Record] = []
         next_offset: int | None = None
         page: dict[str, Any] = {"has_more": True}
         while page["has_more"]:
@@ -56,9 +57,9 @@
             if next_offset is None:
                 next_offset = page["end_offset"]
         assert next_offset is not None
-        return ports.Batch(tuple(records), next_offset, is_snapshot=True)
+        return topics.Batch(tuple(records), next_offset, is_snapshot=True)
 
-    async def changes(self, offset: int, wait: float) -> ports.Batch:
+    async def changes(self, offset: int, wait: float) -> topics.Batch:
         """Returns the records from ``offset`` on."""
         query = {"source": str(offset), "wait_ms": str(int(wait * 1000))}
         data = await self._read("log-read", query, wait)
@@ -66,7 +67,7 @@
         if end < offset:
             raise errors.LogOffsetExpiredError(self.topic, offset, first)
         records = tuple(_records(data[_OFFSETS.size :], offset))
-        return ports.Batch(records, offset + len(records))
+        return topics.Batch(records, offset + len(records))
 
     async def put(
         self, key: str, value: bytes, expected_offset: int | None = None
@@ -132,16 +133,16 @@
         )
 
 
-def _entry(fields: dict[str, Any]) -> ports.Record:
+def _entry(fields: dict[str, Any]) -> topics.Record:
     value = fields.get("value")
-    return ports.Record(
+    return topics.Record(
         fields["key"],
         base64.b64decode(value) if value else None,
         fields["offset"],
     )
 
 
-def _records(data: bytes, offset: int) -> Iterator[ports.Record]:
+def _records(data: bytes, offset: int) -> Iterator[topics.Record]:
     at = 0
     while at < len(data):
         (length,) = _LENGTH.unpack_from(data, at)
@@ -149,13 +150,13 @@
         content = data[at : at + length]
         at += length
         key_end = 1 + content[0]
-        yield ports.Record(
+        yield topics.Record(
             content[1:key_end].decode(), content[key_end:] or None, offset
         )
         offset += 1
 
 
-def topics(session: aiohttp.ClientSession, address: str) -> ports.Topics:
+def open_topics(session: aiohttp.ClientSession, address: str) -> ports.Topics:
     """Returns the topics of the store at ``address``."""
     return ports.Topics(
         operator=StoreTopic(session, address, "keyed.op"),
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -9,9 +9,10 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay import mirror as mirror_lib
-from hoistmoor.relay import ports
+from hoistmoor.core.relay import topics
 
 if TYPE_CHECKING:
+    from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
 
 FIRST_BACKOFF = 0.1  # Seconds after the first failed call.
@@ -31,7 +32,7 @@
             has not been away.
     """
 
-    batch: ports.Batch
+    batch: topics.Batch
     current_at: float
     after_outage: float
 
@@ -126,7 +127,7 @@
         self.take(Update(batch, current_at, self.after_outage))
 
     def _was_overtaken(
-        self, asked_from: int | None, batch: ports.Batch
+        self, asked_from: int | None, batch: topics.Batch
     ) -> bool:
         """Returns whether another host's copy came meanwhile with more.
 
@@ -146,14 +147,7 @@
         """Takes what was read, here or by another host, and tells of it."""
         batch = update.batch
         self.next_offset = batch.next_offset
-        self.mirror.take(
-            (
-                mirror_lib.Change(each.key, each.value, each.offset)
-                for each in batch.records
-            ),
-            batch.next_offset,
-            is_snapshot=batch.is_snapshot,
-        )
+        self.mirror.take(batch)
         self._listener(update)
         self._state.topics_read.add(self.name)
 
--- a/src/hoistmoor/relay/listeners.py
+++ b/src/hoistmoor/relay/listeners.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay import configuration
+    from hoistmoor.core.relay import topics
     from hoistmoor.relay import follower
     from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
@@ -32,7 +33,7 @@
         if self._state.configuration is not None:
             self._state.lease.prove(update.current_at)
 
-    def _take(self, record: ports.Record) -> None:
+    def _take(self, record: topics.Record) -> None:
         if record.value is None:
             return
         found = self._codec.configuration(record)
@@ -89,7 +90,7 @@
     def _fleet(self) -> fleet_lib.Fleet:
         return self._state.router.fleet
 
-    def _put(self, record: ports.Record) -> None:
+    def _put(self, record: topics.Record) -> None:
         try:
             entry = self._codec.server(record)
         except errors.CodecError as error:
@@ -115,7 +116,7 @@
         if self._fleet.remove(server_id):
             self._state.believe("server_gone", server=server_id, why="removed")
 
-    def _remove_unlisted(self, batch: ports.Batch, in_doubt: bool) -> None:
+    def _remove_unlisted(self, batch: topics.Batch, in_doubt: bool) -> None:
         listed = {record.key for record in batch.records}
         for each in self._fleet:
             if each.entry.server_id not in listed:
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -10,6 +10,7 @@
 import orjson
 
 from hoistmoor.core.relay import mirror
+from hoistmoor.core.relay import topics
 
 _T = TypeVar("_T")
 
@@ -19,11 +20,11 @@
     """One topic in an answer.
 
     Attributes:
-        copy: The part that is passed on.
+        batch: What is new.
         after_outage: Seconds since the store was heard again there.
     """
 
-    copy: mirror.Copy
+    batch: topics.Batch
     after_outage: float
 
 
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay import mirror
+    from hoistmoor.core.relay import topics
     from hoistmoor.relay import state as state_lib
 
 PERIOD = 0.4  # Seconds between two questions.
@@ -29,7 +30,7 @@
 # reads the store itself stays below 1.1 s.
 OLDEST = 1.5
 LIST_RETRY = 0.5  # Seconds until a host tries again to list itself.
-MAX_QUESTION = 4096  # Bytes.
+_FOREVER = 1e9  # Seconds; JSON has no infinity.
 
 
 class HostListener:
@@ -75,15 +76,15 @@
 
     def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
         """Returns what is new to the other host."""
-        topics = {}
+        copies = {}
         for name, offset in asked.offsets.items():
             follower = self._followers.get(name)
-            copy = follower.mirror.copy_from(offset) if follower else None
-            if follower is not None and copy is not None:
-                outage = min(follower.after_outage, 1e9)
-                topics[name] = peer_codec.TopicCopy(copy, outage)
-        age = min(self._state.lease.age(self._state.clock()), 1e9)
-        return peer_codec.CopyAnswer(age, topics)
+            new = follower.mirror.copy_from(offset) if follower else None
+            if follower is not None and new is not None:
+                outage = min(follower.after_outage, _FOREVER)
+                copies[name] = peer_codec.TopicCopy(new, outage)
+        age = min(self._state.lease.age(self._state.clock()), _FOREVER)
+        return peer_codec.CopyAnswer(age, copies)
 
 
 class PeerReader:
@@ -160,31 +161,24 @@
             return peer_codec.decode_answer(await reply.read())
 
     def _take(self, answer: peer_codec.CopyAnswer, sent_at: float) -> None:
+        # The answer was made after the question was sent, and its age counts
+        # from when it was made.
+        current_at = sent_at - answer.age
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
             # A read of the store that is under way may have gone further.
-            if follower is None or _is_behind(follower, topic.copy):
+            if follower is None or _is_behind(follower, topic.batch):
                 continue
-            batch = ports.Batch(
-                tuple(
-                    ports.Record(each.key, each.value, each.offset)
-                    for each in topic.copy.changes
-                ),
-                topic.copy.next_offset,
-                topic.copy.is_snapshot,
-            )
-            # The answer was made after the question was sent, and its age
-            # counts from when it was made.
             follower.take(
-                follower_lib.Update(
-                    batch, sent_at - answer.age, topic.after_outage
-                )
+                follower_lib.Update(topic.batch, current_at, topic.after_outage)
             )
 
 
-def _is_behind(follower: follower_lib.TopicFollower, copy: mirror.Copy) -> bool:
+def _is_behind(
+    follower: follower_lib.TopicFollower, batch: topics.Batch
+) -> bool:
     known = follower.next_offset
-    return known is not None and copy.next_offset < known
+    return known is not None and batch.next_offset < known
 
 
 class SelfListing:
--- a/src/hoistmoor/relay/ports.py
+++ b/src/hoistmoor/relay/ports.py
@@ -12,36 +12,7 @@
     from hoistmoor.core.relay import configuration
     from hoistmoor.core.relay import fleet
     from hoistmoor.core.relay import rollouts
-
-
-@attrs.frozen
-class Record:
-    """One record of a keyed topic.
-
-    Attributes:
-        key: What it is about.
-        value: Its content; None if the key was dropped.
-        offset: Its place in the topic.
-    """
-
-    key: str
-    value: bytes | None
-    offset: int
-
-
-@attrs.frozen
-class Batch:
-    """Records that were read together.
-
-    Attributes:
-        records: In order.
-        next_offset: Where to read on.
-        is_snapshot: Whether keys that are not in it do not exist.
-    """
-
-    records: tuple[Record, ...]
-    next_offset: int
-    is_snapshot: bool = False
+    from hoistmoor.core.relay import topics
 
 
 class KeyedTopic(Protocol):
@@ -50,10 +21,10 @@
     Calls raise subclasses of ``errors.PlatformError``.
     """
 
-    async def newest(self) -> Batch:
+    async def newest(self) -> topics.Batch:
         """Returns the newest record of each key."""
 
-    async def changes(self, offset: int, wait: float) -> Batch:
+    async def changes(self, offset: int, wait: float) -> topics.Batch:
         """Returns the records from ``offset`` on; waits for the first.
 
         Raises:
@@ -103,14 +74,14 @@
     """
 
     def configuration(
-        self, record: Record
+        self, record: topics.Record
     ) -> configuration.Configuration | None:
         """Returns the configuration that an operator's record holds, if so."""
 
-    def order(self, record: Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> rollouts.Order | None:
         """Returns the roll-out order that an operator's record holds."""
 
-    def server(self, record: Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns a backend server's entry."""
 
     def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -16,7 +16,9 @@
     from hoistmoor.relay import state as state_lib
 
 PERIOD = 1.0  # Seconds between two looks; a roll-back has five.
-TELL_EVERY = 1.0  # Seconds between two tellings of this host's counts.
+# Seconds between two tellings of this host's counts: with PERIOD and a turn
+# well below the five seconds that a roll-back may take.
+TELL_EVERY = 2.0
 # Hosts at the front of the order of turns that read all counts each time, and
 # the seconds between two reads of the others: what is read grows with the
 # square of the hosts if all of them read.
@@ -54,7 +56,7 @@
             state, "evidence", topics.evidence, self._heard, wait=0.0, pause=0.0
         )
         self._due_since: dict[rollouts.PhaseRecord, float] = {}
-        self._told: dict[str, bytes] = {}
+        self._told: dict[rollouts.Order, int] = {}
         self._told_at = float("-inf")
         self._read_at = float("-inf")
         self._status_written: dict[str, rollouts.PhaseRecord] = {}
@@ -107,17 +109,19 @@
             await self._write_status(progress)
 
     async def _tell(self, progress: rollouts.Progress) -> None:
+        """Tells this host's counts, if the target has answered more."""
         order = progress.order
+        answers = progress.target_answers
+        if self._told.get(order) == answers:
+            return
         evidence = rollouts.Evidence(
             order.service, order.number, self._run_name, progress.counts
         )
-        data = rollout_codec.encode(evidence)
-        if self._told.get(order.service) == data:
-            return
         await self._topics.evidence.put(
-            f"{order.service}/{self._run_name}", data
+            f"{order.service}/{self._run_name}",
+            rollout_codec.encode(evidence),
         )
-        self._told[order.service] = data
+        self._told[order] = answers
 
     def _is_reader(self, active: list[rollouts.Progress]) -> bool:
         """Returns whether this host may soon have to write a phase."""
--- a/tests/core/relay/test_relay_mirror.py
+++ b/tests/core/relay/test_relay_mirror.py
@@ -9,12 +9,13 @@
 from testtools import matchers
 
 from hoistmoor.core.relay import mirror
+from hoistmoor.core.relay import topics
 
 NAMES = [f"h{number}" for number in range(6)]
 
 
-def change(key: str, offset: int, value: bytes | None = b"v") -> mirror.Change:
-    return mirror.Change(key, value, offset)
+def change(key: str, offset: int, value: bytes | None = b"v") -> topics.Record:
+    return topics.Record(key, value, offset)
 
 
 @given(
@@ -32,15 +33,16 @@
         for at, (key, kept) in enumerate(keys)
     ]
     source = mirror.TopicMirror()
-    source.take(changes[:split], len(changes[:split]), is_snapshot=False)
-    source.take(changes[split:], len(changes), is_snapshot=False)
+    first = tuple(changes[:split])
+    source.take(topics.Batch(first, len(first)))
+    source.take(topics.Batch(tuple(changes[split:]), len(changes)))
     asked = min(asked, len(changes))
     state = {each.key: each.value for each in changes[:asked]}
     copy = source.copy_from(asked)
     assert copy is not None
     if copy.is_snapshot:
         state = {}
-    state.update({each.key: each.value for each in copy.changes})
+    state.update({each.key: each.value for each in copy.records})
     expected = {each.key: each.value for each in changes}
     kept = {key: value for key, value in state.items() if value is not None}
     due = {key: value for key, value in expected.items() if value is not None}
@@ -51,23 +53,21 @@
 def test_a_host_far_behind_gets_a_snapshot() -> None:
     source = mirror.TopicMirror()
     assertions.assert_that(source.copy_from(None), matchers.Is(None))
-    source.take([change("a", 3)], 10, is_snapshot=True)
-    source.take(
-        [change(f"k{at}", at) for at in range(10, 10 + 2 * mirror.KEPT)],
-        10 + 2 * mirror.KEPT,
-        is_snapshot=False,
-    )
+    source.take(topics.Batch((change("a", 3),), 10, is_snapshot=True))
+    end = 10 + 2 * mirror.KEPT
+    many = tuple(change(f"k{at}", at) for at in range(10, end))
+    source.take(topics.Batch(many, end))
     for asked in (None, 0, 9, 20):
         copy = source.copy_from(asked)
         assert copy is not None
         assertions.assert_that(copy.is_snapshot, matchers.Is(True))
         assertions.assert_that(
-            copy.changes, matchers.HasLength(2 * mirror.KEPT + 1)
+            copy.records, matchers.HasLength(2 * mirror.KEPT + 1)
         )
-    copy = source.copy_from(10 + 2 * mirror.KEPT - 5)
+    copy = source.copy_from(end - 5)
     assert copy is not None
     assertions.assert_that(copy.is_snapshot, matchers.Is(False))
-    assertions.assert_that(copy.changes, matchers.HasLength(5))
+    assertions.assert_that(copy.records, matchers.HasLength(5))
 
 
 @pytest.fixture
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -11,11 +11,11 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay import configuration
 from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay import topics
 from hoistmoor.platform import codec as codec_lib
 from hoistmoor.platform import names
 from hoistmoor.platform import settings
 from hoistmoor.relay import header_names
-from hoistmoor.relay import ports
 
 ROUTE = {
     "name": "r-1",
@@ -61,8 +61,8 @@
 CODEC = codec_lib.PlatformCodec()
 
 
-def record(key: str, fields: object, offset: int = 3) -> ports.Record:
-    return ports.Record(key, orjson.dumps(fields), offset)
+def record(key: str, fields: object, offset: int = 3) -> topics.Record:
+    return topics.Record(key, orjson.dumps(fields), offset)
 
 
 def test_a_configuration_is_decoded_once_and_whole() -> None:
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"service":"a"}'])
 def test_an_unreadable_entry_is_an_error(value: bytes) -> None:
     with pytest.raises(errors.CodecError):
-        CODEC.server(ports.Record("i-1", value, 0))
+        CODEC.server(topics.Record("i-1", value, 0))
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -18,12 +18,12 @@
 from hoistmoor.core.relay import fleet as fleet_lib
 from hoistmoor.core.relay import freshness
 from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay import topics
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
 from hoistmoor.relay import follower
 from hoistmoor.relay import listeners
-from hoistmoor.relay import ports
 from hoistmoor.relay import state as state_lib
 
 if TYPE_CHECKING:
@@ -182,15 +182,13 @@
     held: float = 0.0
     waits: list[float] = attrs.field(factory=list)
 
-    async def changes(
-        self, offset: int, wait: float
-    ) -> relay_platform.ports.Batch:
+    async def changes(self, offset: int, wait: float) -> topics.Batch:
         """Returns the records after the time that the test sets."""
         self.waits.append(wait)
         self._check()
         self.clock.now += self.held
         found = tuple(self.records[offset:])
-        return ports.Batch(found, offset + len(found))
+        return topics.Batch(found, offset + len(found))
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -23,6 +23,8 @@
 
     import aiohttp
 
+    from hoistmoor.core.relay import topics
+
 PATIENCE = 20.0  # Seconds; only a hang of a busy machine comes near.
 
 
@@ -35,14 +37,12 @@
     )
     reads: int = 0
 
-    async def newest(self) -> relay_platform.ports.Batch:
+    async def newest(self) -> topics.Batch:
         """Returns what the shared topic has."""
         self._check()
         return await self.source.newest()
 
-    async def changes(
-        self, offset: int, wait: float
-    ) -> relay_platform.ports.Batch:
+    async def changes(self, offset: int, wait: float) -> topics.Batch:
         """Returns what is new on the shared topic."""
         self._check()
         self.reads += 1
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -13,6 +13,7 @@
 from hoistmoor.core.relay import configuration
 from hoistmoor.core.relay import fleet
 from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay import topics
 from hoistmoor.relay import header_names
 from hoistmoor.relay import ports
 
@@ -30,19 +31,19 @@
         loses_answers: Whether writes take effect and then fail.
     """
 
-    records: list[ports.Record] = attrs.field(factory=list)
+    records: list[topics.Record] = attrs.field(factory=list)
     first_kept: int = 0
     is_away: bool = False
     loses_answers: bool = False
 
-    async def newest(self) -> ports.Batch:
+    async def newest(self) -> topics.Batch:
         """Returns the newest record of each key."""
         self._check()
         newest = {each.key: each for each in self.records}
         kept = tuple(each for each in newest.values() if each.value is not None)
-        return ports.Batch(kept, len(self.records), is_snapshot=True)
+        return topics.Batch(kept, len(self.records), is_snapshot=True)
 
-    async def changes(self, offset: int, wait: float) -> ports.Batch:
+    async def changes(self, offset: int, wait: float) -> topics.Batch:
         """Returns the records from ``offset`` on."""
         end = asyncio.get_running_loop().time() + wait
         while True:
@@ -53,7 +54,7 @@
                 )
             found = tuple(self.records[offset:])
             if found or asyncio.get_running_loop().time() >= end:
-                return ports.Batch(found, offset + len(found))
+                return topics.Batch(found, offset + len(found))
             await asyncio.sleep(POLL)
 
     async def put(
@@ -63,7 +64,7 @@
         self._check()
         if expected_offset not in (None, len(self.records)):
             return None
-        self.records.append(ports.Record(key, value, len(self.records)))
+        self.records.append(topics.Record(key, value, len(self.records)))
         if self.loses_answers:
             raise errors.LogOutcomeUnknownError("lost", "Read first.")
         return len(self.records)
@@ -84,19 +85,19 @@
     known: dict[bytes, object] = attrs.field(factory=dict)
 
     def configuration(
-        self, record: ports.Record
+        self, record: topics.Record
     ) -> configuration.Configuration | None:
         """Returns the configuration that the record names, if it does."""
         found = self.known.get(record.value or b"")
         is_it = isinstance(found, configuration.Configuration)
         return found if is_it else None
 
-    def order(self, record: ports.Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> rollouts.Order | None:
         """Returns the order that the record names, if it does."""
         found = self.known.get(record.value or b"")
         return found if isinstance(found, rollouts.Order) else None
 
-    def server(self, record: ports.Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns the entry that the record names."""
         found = self.known.get(record.value or b"")
         if not isinstance(found, fleet.ServerEntry):
