Count a missing entry's grace from the store's return

Change: an entry that is missing after an outage is kept until two seconds after the store was heard again, and gets nothing from that moment on, whether or not a read comes. Conclusion: the two seconds are the store's promise, not ours to prolong.

--- a/src/hoistmoor/core/relay/fleet.py
+++ b/src/hoistmoor/core/relay/fleet.py
@@ -79,7 +79,8 @@
             before the first.
         others: Requests of other hosts that it had when it last told.
         others_at: When it last told.
-        lapsed_at: When its entry went away in doubt; None while it is listed.
+        lapsed_until: Until when it is kept though its entry went away in
+            doubt; None while it is listed.
     """
 
     entry: ServerEntry
@@ -89,7 +90,12 @@
     mean_work: float = 0.0
     others: int = 0
     others_at: float = float("-inf")
-    lapsed_at: float | None = None
+    lapsed_until: float | None = None
+
+    def is_gone(self, now: float) -> bool:
+        """Returns whether it must get no new work."""
+        is_over = self.lapsed_until is not None and now >= self.lapsed_until
+        return self.entry.is_leaving or is_over
 
     def others_now(self, now: float) -> int:
         """Returns the requests of other hosts that it probably has."""
@@ -136,9 +142,9 @@
             pool = self._by_service.setdefault(entry.service, {})
             pool[entry.server_id] = state
             return True
-        changed = known.entry != entry or known.lapsed_at is not None
+        changed = known.entry != entry or known.lapsed_until is not None
         known.entry = entry
-        known.lapsed_at = None
+        known.lapsed_until = None
         return changed
 
     def remove(self, server_id: str) -> bool:
@@ -149,18 +155,23 @@
         del self._by_service[state.entry.service][server_id]
         return True
 
-    def lapse(self, server_id: str, now: float) -> None:
-        """Notes that an entry is missing, maybe because the store was away."""
+    def lapse(self, server_id: str, until: float) -> None:
+        """Notes that an entry is missing, maybe because the store was away.
+
+        Args:
+            server_id: The server.
+            until: Steady time from which it is taken as gone.
+        """
         state = self.servers.get(server_id)
-        if state is not None and state.lapsed_at is None:
-            state.lapsed_at = now
+        if state is not None and state.lapsed_until is None:
+            state.lapsed_until = until
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Forgets servers missing for too long; returns their ids."""
         gone = [
             each.entry.server_id
             for each in self
-            if each.lapsed_at is not None and now - each.lapsed_at > LAPSE_GRACE
+            if each.lapsed_until is not None and now >= each.lapsed_until
         ]
         for server_id in gone:
             self.remove(server_id)
@@ -186,7 +197,7 @@
         pool = [
             each
             for each in self._by_service.get(service, {}).values()
-            if not each.entry.is_leaving
+            if not each.is_gone(now)
             and each.entry.version in versions
             and each.entry.server_id not in excluded
         ]
--- a/src/hoistmoor/relay/listeners.py
+++ b/src/hoistmoor/relay/listeners.py
@@ -75,15 +75,18 @@
 
     def __call__(self, update: follower.Update) -> None:
         """Takes one update."""
-        in_doubt = update.after_outage <= fleet_lib.LAPSE_GRACE
+        now = self._state.clock()
+        # A server that lives is listed again by then. It is counted from the
+        # store's return: an entry that goes later was taken away for good.
+        doubt_ends = now - update.after_outage + fleet_lib.LAPSE_GRACE
         for record in update.batch.records:
             if record.value is None:
-                self._remove(record.key, in_doubt)
+                self._remove(record.key, doubt_ends)
             else:
                 self._put(record)
         if update.batch.is_snapshot:
-            self._remove_unlisted(update.batch, in_doubt)
-        for server_id in self._fleet.drop_lapsed(self._state.clock()):
+            self._remove_unlisted(update.batch, doubt_ends)
+        for server_id in self._fleet.drop_lapsed(now):
             self._state.believe("server_gone", server=server_id, why="lapsed")
 
     @property
@@ -109,18 +112,18 @@
                 offset=record.offset,
             )
 
-    def _remove(self, server_id: str, in_doubt: bool) -> None:
-        if in_doubt:
-            self._fleet.lapse(server_id, self._state.clock())
+    def _remove(self, server_id: str, doubt_ends: float) -> None:
+        if self._state.clock() < doubt_ends:
+            self._fleet.lapse(server_id, doubt_ends)
             return
         if self._fleet.remove(server_id):
             self._state.believe("server_gone", server=server_id, why="removed")
 
-    def _remove_unlisted(self, batch: topics.Batch, in_doubt: bool) -> None:
+    def _remove_unlisted(self, batch: topics.Batch, doubt_ends: float) -> None:
         listed = {record.key for record in batch.records}
         for each in self._fleet:
             if each.entry.server_id not in listed:
-                self._remove(each.entry.server_id, in_doubt)
+                self._remove(each.entry.server_id, doubt_ends)
 
 
 class PhaseListener:
--- a/tests/core/relay/test_relay_placement.py
+++ b/tests/core/relay/test_relay_placement.py
@@ -150,11 +150,15 @@
     assertions.assert_that(
         known.ready("desk", {"v1"}, (), NOW), matchers.HasLength(1)
     )
-    known.lapse("a", NOW)
+    known.lapse("a", NOW + 2.0)
     assertions.assert_that(known.drop_lapsed(NOW + 1.0), matchers.Equals([]))
     known.put(relay_parts.entry("a"))  # It is listed again.
     assertions.assert_that(known.drop_lapsed(NOW + 9.0), matchers.Equals([]))
-    known.lapse("a", NOW + 10.0)
+    known.lapse("a", NOW + 12.0)
+    # It gets nothing more from then on, also before it is forgotten.
+    for now, count in ((NOW + 11.9, 1), (NOW + 12.0, 0)):
+        ready = known.ready("desk", {"v1"}, (), now)
+        assertions.assert_that(ready, matchers.HasLength(count))
     gone = known.drop_lapsed(NOW + 13.0)
     assertions.assert_that(gone, matchers.Equals(["a"]))
 
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -143,6 +143,23 @@
     assertions.assert_that(known(rig), matchers.Equals(["a"]))
 
 
+async def test_an_entry_that_goes_after_an_outage_is_not_kept_for_long(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    await platform.publish(platform.servers, "a", relay_parts.entry("a"))
+    await servers.read_once()
+    await fail_and_return(rig, platform, servers)
+    await servers.read_once()
+    rig.clock.now += 0.75 * fleet_lib.LAPSE_GRACE
+    await platform.publish(platform.servers, "a", None)
+    await servers.read_once()
+    rig.clock.now += 0.26 * fleet_lib.LAPSE_GRACE
+    ready = rig.state.router.fleet.ready("desk", {"v1"}, (), rig.clock.now)
+    assertions.assert_that(ready, matchers.HasLength(0))
+
+
 async def test_a_forgotten_history_is_replaced_by_a_snapshot(
     rig: Rig,
     platform: relay_platform.MemoryPlatform,
