--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -87,6 +87,15 @@
         self._draws = draws
         self._services: dict[str, _ServiceState] = {}
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Puts other bounds in force; what was counted stays."""
+        self._bounds = bounds
+        self.rollouts.sessions.life = bounds.session_life
+        for service in self._services.values():
+            service.budget.ratio = bounds.repeat_ratio
+            service.budget.window = bounds.repeat_window
+            service.budget.spare = bounds.repeat_spare
+
     def note_request(self, request: requests.RelayRequest, now: float) -> None:
         """Counts a caller's request, which earns its service repeats."""
         service = self._service(request.service)
--- a/src/hoistmoor/platform/main.py
+++ b/src/hoistmoor/platform/main.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     import aiohttp
 
+    from hoistmoor.relay import settings as relay_settings
+
 SETTINGS_VARIABLE = "HOISTMOOR_CONFIG"
 EXIT_USAGE = 2
 
@@ -41,7 +43,10 @@
             not_run_statuses=names.NOT_RUN_STATUSES,
         )
 
-    uvloop.run(application.serve(settings.relay, connect))
+    def read_again() -> relay_settings.RelaySettings:
+        return settings_lib.read(path.read_bytes()).relay
+
+    uvloop.run(application.serve(read_again, connect))
     return 0
 
 
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -25,6 +25,7 @@
 from hoistmoor.relay import peers
 from hoistmoor.relay import relay_task
 from hoistmoor.relay import rollout_task
+from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
@@ -61,6 +62,7 @@
 
     Attributes:
         settings: Its settings.
+        settings_task: Takes changed settings.
         state: What it knows.
         front: Serves callers.
         followers: Read the topics, by name.
@@ -74,6 +76,7 @@
         platform: ports.Platform,
         session: aiohttp.ClientSession,
         peer_session: aiohttp.ClientSession,
+        read_settings: Callable[[], settings_lib.RelaySettings],
     ) -> None:
         """Makes a relay; nothing runs yet.
 
@@ -82,23 +85,18 @@
             platform: Where it learns what it must know.
             session: Opens connections to backend servers.
             peer_session: Opens connections to other relays.
+            read_settings: Reads the settings again.
         """
         self.settings = settings
         self.addresses: list[str] = []
         seed = int.from_bytes(os.urandom(8), "big")
         draws = hashing.Draws.seeded(seed)
         clock = time.monotonic
-        bounds = router_lib.Bounds(
-            settings.repeat_ratio,
-            settings.repeat_window,
-            settings.repeat_spare,
-            settings.session_life,
-        )
         self.state = state_lib.RelayState(
             clock=clock,
             log=event_log.EventLog(settings.host, clock, LOG_DESCRIPTOR),
             counters=counters.Counters(),
-            router=router_lib.Router(settings.zone, bounds, draws),
+            router=router_lib.Router(settings.zone, _bounds(settings), draws),
             lease=freshness.ConfigurationLease(settings.revocation),
         )
         dialect = dialect_lib.Dialect(
@@ -112,9 +110,18 @@
             admission.Admission(self.state, platform.headers, draws),
             relay_task.Links(session, platform.headers, dialect),
         )
+        self.settings_task = settings_task.SettingsTask(
+            self.state, settings, read_settings, self.apply
+        )
         self._make_followers(platform)
         self._make_tasks(platform, f"{settings.host}-{seed:016x}", peer_session)
 
+    def apply(self, settings: settings_lib.RelaySettings) -> None:
+        """Puts changed settings in force; addresses stay until a restart."""
+        self.settings = settings
+        self.state.lease.bound = settings.revocation
+        self.state.router.take_bounds(_bounds(settings))
+
     def _make_followers(self, platform: ports.Platform) -> None:
         state, topics = self.state, platform.topics
         self._sources = mirror.Sources(self.settings.host, self.settings.zone)
@@ -145,6 +152,7 @@
     ) -> None:
         settings = self.settings
         self._loops = {name: each.run for name, each in self.followers.items()}
+        self._loops["settings"] = self.settings_task.run
         self._loops["rollouts"] = rollout_task.RolloutTask(
             self.state,
             platform.topics,
@@ -236,14 +244,24 @@
         state.log.write("stop", left=len(self.front.running))
 
 
+def _bounds(settings: settings_lib.RelaySettings) -> router_lib.Bounds:
+    return router_lib.Bounds(
+        settings.repeat_ratio,
+        settings.repeat_window,
+        settings.repeat_spare,
+        settings.session_life,
+    )
+
+
 async def serve(
-    settings: settings_lib.RelaySettings,
+    read_settings: Callable[[], settings_lib.RelaySettings],
     connect: Callable[[aiohttp.ClientSession], ports.Platform],
 ) -> None:
     """Runs a relay until SIGTERM or SIGINT.
 
     Args:
-        settings: Its settings.
+        read_settings: Reads its settings, now and whenever they may have
+            changed.
         connect: Makes the platform on a session for calls to it.
     """
     stop = signals.stop_event()
@@ -258,5 +276,12 @@
             attempt_header=platform.headers.request_id,
             unanswered_timeout=UNANSWERED,
         ) as session:
-            relay = Relay(settings, platform, session, platform_session)
+            relay = Relay(
+                read_settings(),
+                platform,
+                session,
+                platform_session,
+                read_settings,
+            )
+            signals.on_reload(relay.settings_task.changed.set)
             await relay.serve(stop)
--- a/src/hoistmoor/utils/signals.py
+++ b/src/hoistmoor/utils/signals.py
@@ -1,9 +1,13 @@
-"""Graceful stop on SIGTERM and SIGINT."""
+"""Graceful stop on SIGTERM and SIGINT, and a look at settings on SIGHUP."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -19,3 +23,12 @@
     for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, event.set)
     return event
+
+
+def on_reload(callback: Callable[[], None]) -> None:
+    """Has ``callback`` called for each SIGHUP, which then ends no process.
+
+    Must be called inside the running event loop.
+    """
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, callback)
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -151,7 +151,7 @@
         )
         caller = await stack.enter_async_context(aiohttp.ClientSession())
         relay = application.Relay(
-            settings, platform.as_port(), session, session
+            settings, platform.as_port(), session, session, lambda: settings
         )
         task = asyncio.create_task(relay.serve(stop))
         async with asyncio.timeout(PATIENCE):
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -102,7 +102,11 @@
         peer_listen=address,
     )
     relay = application.Relay(
-        settings, attrs.evolve(port, topics=topics), session, session
+        settings,
+        attrs.evolve(port, topics=topics),
+        session,
+        session,
+        lambda: settings,
     )
     task = asyncio.create_task(relay.serve(asyncio.Event()))
     await until(relay.state.is_ready)
--- /dev/null
+++ b/tests/relay/test_relay_settings.py
@@ -0,0 +1,79 @@
+"""Settings that change while a relay runs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core import errors
+from hoistmoor.relay import settings_task
+from hoistmoor.utils import signals
+
+if TYPE_CHECKING:
+    from conftest import Harness
+
+    from hoistmoor.relay import settings as settings_lib
+
+
+@pytest.fixture
+def found(harness: Harness) -> list[settings_lib.RelaySettings]:
+    """What the next look at the settings finds; empty for an error."""
+    return [harness.relay.settings]
+
+
+@pytest.fixture
+def task(
+    harness: Harness, found: list[settings_lib.RelaySettings]
+) -> settings_task.SettingsTask:
+    """A task that looks at ``found``."""
+
+    def read() -> settings_lib.RelaySettings:
+        if not found:
+            raise errors.ConfigurationError("broken", "Mend it.")
+        return found[0]
+
+    relay = harness.relay
+    return settings_task.SettingsTask(
+        relay.state, relay.settings, read, relay.apply
+    )
+
+
+async def test_changed_bounds_are_in_force_at_once(
+    harness: Harness,
+    found: list[settings_lib.RelaySettings],
+    task: settings_task.SettingsTask,
+) -> None:
+    found[0] = attrs.evolve(found[0], revocation=2.0, session_life=9.0)
+    task.look(signalled=False)
+    state = harness.state
+    assertions.assert_that(state.lease.bound, matchers.Equals(2.0))
+    assertions.assert_that(
+        state.router.rollouts.sessions.life, matchers.Equals(9.0)
+    )
+
+
+async def test_bad_settings_change_nothing(
+    harness: Harness,
+    found: list[settings_lib.RelaySettings],
+    task: settings_task.SettingsTask,
+) -> None:
+    before = harness.relay.settings
+    found.clear()
+    task.look(signalled=True)
+    assertions.assert_that(harness.relay.settings, matchers.Is(before))
+
+
+async def test_a_hangup_is_a_look_and_no_end(
+    task: settings_task.SettingsTask,
+) -> None:
+    signals.on_reload(task.changed.set)
+    os.kill(os.getpid(), signal.SIGHUP)
+    async with asyncio.timeout(20.0):
+        await task.changed.wait()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -179,6 +179,7 @@
             self._stop_relay,
             self._kill_relay,
             self._pause_relay,
+            self._hang_up_relays,
             self._harm_backend_link,
             self._harm_store_link,
             self._harm_store,
@@ -213,6 +214,11 @@
         await asyncio.sleep(1.0)
         self._busy.discard(relay.program.name)
 
+    async def _hang_up_relays(self) -> None:
+        """Tells relays to look at their settings; it must cut nothing."""
+        for relay in self.world.relays:
+            relay.program.send(signal.SIGHUP)
+
     async def _kill_relay(self) -> None:
         relay = self._draw.choice(self.world.relays)
         if not self._take(relay.program.name):
