Give the soak ports that no outgoing connection takes

The soak chose one free port for metrics, and the relay also listens on the next one, which an outgoing connection held. Ruled out: a fault of the relay (its log names the port). Change: ports in a row, from below those of outgoing connections.

--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -27,10 +27,34 @@
 GRACE_S = 8
 
 
+# Below the ports that the system gives to outgoing connections, so that none
+# of these takes a port between its choice and its use.
+_PORTS = range(20000, 32000)
+_next_port = _PORTS.start + (os.getpid() * 40) % len(_PORTS)
+
+
+def free_ports(count: int) -> int:
+    """Returns the first of some ports in a row that nobody uses now."""
+    global _next_port  # noqa: PLW0603
+    while True:
+        first, _next_port = _next_port, _next_port + count
+        if _next_port >= _PORTS.stop:
+            _next_port = _PORTS.start
+        elif all(_is_free(port) for port in range(first, first + count)):
+            return first
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def free_address() -> str:
     """Returns an address of loopback that nobody uses now."""
-    with socket.create_server(("127.0.0.1", 0)) as opened:
-        return f"127.0.0.1:{opened.getsockname()[1]}"
+    return f"127.0.0.1:{free_ports(1)}"
 
 
 def configuration(version: int, keys: list[str]) -> bytes:
@@ -201,13 +225,14 @@
     async def _start_relay(self, number: int) -> None:
         link = soak_proxy.Proxy(self.store_address)
         await link.start()
-        listen, ready, metrics = (free_address() for _ in range(3))
+        listen, ready = free_address(), free_address()
+        internal = free_ports(2)
         settings = {
             "node_name": f"relay-{number}",
             "zone": "a",
             "ip": "127.0.0.1",
             "listen": {"frontend": listen, "ready": ready},
-            "internal_port_range": [int(metrics.rpartition(":")[2]), 0],
+            "internal_port_range": [internal, internal + 1],
             "bounds": {
                 "revoke_ms": REVOKE_MS,
                 "grace_s": GRACE_S,
