Tell hosts what work the others have at the engines; draw a few engines a request

A host sees a sixtieth of the work and hears of an engine once in half a minute, so all hosts took the engine that stands nearest to a class of requests. Ruled out: too little capacity (engines idle beside the busy ones). Change: hosts tell their source their work by engine with each question, sources of unlike failure domains exchange sums every 0.4 s, each host is told the rest. Of the engines four are drawn, near ones more often, besides the one that holds the prompt; the holder is chosen among the near ones.

--- a/src/hoistmoor/core/relay/fleet.py
+++ b/src/hoistmoor/core/relay/fleet.py
@@ -16,6 +16,8 @@
     from collections.abc import Container, Iterator
 
 LOAD_LIFE = 3.0  # Seconds after which a reported load counts no more.
+# Seconds after which the other hosts' own word of their work counts no more.
+WORK_LIFE = 2.0
 # Seconds that a server whose entry lapsed while the store was away is kept:
 # the store lists those that live again within about two seconds.
 LAPSE_GRACE = 2.0
@@ -79,6 +81,8 @@
             before the first.
         others: Requests of other hosts that it had when it last told.
         others_at: When it last told.
+        others_work: Work of other hosts that it has, as these told.
+        others_work_until: Until when that counts.
         lapsed_until: Until when it is kept though its entry went away in
             doubt; None while it is listed.
     """
@@ -90,6 +94,8 @@
     mean_work: float = 0.0
     others: int = 0
     others_at: float = float("-inf")
+    others_work: float = 0.0
+    others_work_until: float = float("-inf")
     lapsed_until: float | None = None
 
     def is_gone(self, now: float) -> bool:
@@ -106,6 +112,17 @@
         requests = self.in_flight + self.others_now(now)
         return (requests + 1) / max(1, self.entry.slots)
 
+    def waiting_work(self, usual: float, now: float) -> float:
+        """Returns the work that it has before it.
+
+        Args:
+            usual: Work of a request, for a server not used yet.
+            now: Steady time.
+        """
+        if now < self.others_work_until:
+            return self.work + self.others_work
+        return self.work + (self.mean_work or usual) * self.others_now(now)
+
     def note_work(self, work: float) -> None:
         """Takes a request's work into the mean."""
         known = self.mean_work or work
@@ -166,6 +183,20 @@
         if state is not None and state.lapsed_until is None:
             state.lapsed_until = until
 
+    def own_work(self) -> dict[str, float]:
+        """Returns this host's work by server, where there is any."""
+        return {
+            server_id: round(each.work)
+            for server_id, each in self.servers.items()
+            if each.work > 0.0
+        }
+
+    def take_others_work(self, work: dict[str, float], now: float) -> None:
+        """Takes the work of all other hosts, by server."""
+        for server_id, each in self.servers.items():
+            each.others_work = work.get(server_id, 0.0)
+            each.others_work_until = now + WORK_LIFE
+
     def drop_lapsed(self, now: float) -> list[str]:
         """Forgets servers missing for too long; returns their ids."""
         gone = [
--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 
 import attrs
 import xxhash
@@ -115,18 +116,36 @@
         They stand before this host in an order that all hosts of the failure
         domain share, so nobody waits for one that waits for it.
         """
-        ranked = sorted(
-            (host for host in self.hosts.values() if host.zone == self.zone),
-            key=lambda host: xxhash.xxh64_intdigest(host.name.encode()),
-        )
         before: list[Host] = []
-        for host in ranked:
+        for host in self._ranked(self.zone):
             if host.name == self.own:
                 break
-            if self._rests.get(host.name, (0.0, 0.0))[0] <= now:
+            if not self._is_resting(host, now):
                 before.append(host)
         return before[:ASKED]
 
+    def first_elsewhere(self, now: float) -> list[Host]:
+        """Returns the host of each other failure domain that others ask."""
+        zones = {host.zone for host in self.hosts.values()} - {self.zone}
+        first: list[Host] = []
+        for zone in sorted(zones):
+            awake = (
+                host
+                for host in self._ranked(zone)
+                if not self._is_resting(host, now)
+            )
+            first += itertools.islice(awake, 1)
+        return first
+
+    def _ranked(self, zone: str) -> list[Host]:
+        return sorted(
+            (host for host in self.hosts.values() if host.zone == zone),
+            key=lambda host: xxhash.xxh64_intdigest(host.name.encode()),
+        )
+
+    def _is_resting(self, host: Host, now: float) -> bool:
+        return self._rests.get(host.name, (0.0, 0.0))[0] > now
+
     def note_failed(self, name: str, now: float) -> None:
         """Has a host rest that did not answer, or with nothing current."""
         _, rest = self._rests.get(name, (0.0, FIRST_REST / 2))
--- a/src/hoistmoor/core/relay/placement.py
+++ b/src/hoistmoor/core/relay/placement.py
@@ -3,24 +3,31 @@
 A prompt goes to the engine that will be done with it first: by the work that
 it has, and by what it need not read again. Every host ranks the engines for a
 shared part in the same order, with no word between them, and takes the first
-as the one that has it cached. Other requests go to the least loaded server,
-one in this failure domain if it is about as good.
+as the one that has it cached. Besides that one only a few engines are looked
+at, drawn anew for each request: what other hosts have under way is known late,
+and hosts that all looked at all engines would all choose the same one. Other
+requests go to the least loaded server, one in this failure domain if it is
+about as good.
 """
 
 from __future__ import annotations
 
+import heapq
+import math
 from typing import TYPE_CHECKING
 
-import xxhash
+from hoistmoor.core.routing import hashing
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay import fleet
     from hoistmoor.core.relay import requests
-    from hoistmoor.core.routing import hashing
 
 FAR_BIAS = 0.1  # Load, in shares of a server, that a near server may have more.
 # Times as much work that an engine at the far end of the line seems to have.
 APART = 2.0
+NEAR_POWER = 3.0  # How much more often a near engine is drawn than a far one.
+# Engines drawn for a request, besides the one that has its prompt cached.
+DRAWN = 4
 TIE_NOISE = 0.02  # Shares of a server; spreads hosts that see the same loads.
 _DRAWS = 1 << 16
 
@@ -50,6 +57,7 @@
     model: str,
     distances: dict[str, float],
     mean_work: float,
+    draws: hashing.Draws,
     now: float,
 ) -> fleet.ServerState | None:
     """Returns the engine for a model request, or None if there is none.
@@ -60,25 +68,60 @@
         model: Model that is to answer.
         distances: How far each engine stands from the request's class.
         mean_work: Usual work of a request, for engines not used yet.
+        draws: Source of randomness.
         now: Steady time.
     """
     prompt = request.prompt
     if not ready or prompt is None:
         return None
-    key = f"{prompt.subject} {model}"
+    nearness = {
+        name: (1.0 + APART * distance) ** -NEAR_POWER
+        for name, distance in distances.items()
+    }
+    candidates = _draw(ready, nearness, draws)
+    holder = None
+    if prompt.shared_tokens:
+        key = f"{prompt.subject} {model}"
+        holder = _holder(ready, key, nearness)
+        candidates.append(holder)
     cached = prompt.shared_tokens * request.weight(model)
-    holder = min(ready, key=lambda each: _rank(key, each.entry.server_id))
 
     def work_until_done(server: fleet.ServerState) -> float:
-        usual = server.mean_work or mean_work
-        waiting = server.work + usual * server.others_now(now)
+        waiting = server.waiting_work(mean_work, now)
         own = request.work(model)
         if server is holder:
             own -= cached
         apart = 1.0 + APART * distances[server.entry.server_id]
         return (waiting + own) * apart * max(1.0, server.health.pace)
 
-    return min(ready, key=work_until_done)
+    return min(candidates, key=work_until_done)
+
+
+def _draw(
+    ready: list[fleet.ServerState],
+    nearness: dict[str, float],
+    draws: hashing.Draws,
+) -> list[fleet.ServerState]:
+    """Returns a few servers, near ones more often."""
+    if len(ready) <= DRAWN:
+        return list(ready)
+
+    def key(server: fleet.ServerState) -> float:
+        uniform = (draws.below(_DRAWS) + 1) / _DRAWS
+        return -math.log(uniform) / nearness[server.entry.server_id]
+
+    return heapq.nsmallest(DRAWN, ready, key=key)
+
+
+def _holder(
+    ready: list[fleet.ServerState], key: str, nearness: dict[str, float]
+) -> fleet.ServerState:
+    """Returns the server that has the parts of a prompt cached."""
+    weights = tuple(
+        (each.entry.server_id, nearness[each.entry.server_id]) for each in ready
+    )
+    name = hashing.weighted_pick(key, weights)
+    return next(each for each in ready if each.entry.server_id == name)
 
 
 def _cost(
@@ -88,7 +131,3 @@
     noise = TIE_NOISE * draws.below(_DRAWS) / _DRAWS
     pace = max(1.0, server.health.pace)
     return server.load(now) * pace + far + noise
-
-
-def _rank(key: str, server_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key} {server_id}".encode())
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -142,6 +142,7 @@
             model,
             partition_lib.distances(work_class, ready),
             self._service(service).mean_work,
+            self._draws,
             now,
         )
 
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -14,6 +14,7 @@
 from hoistmoor.clients import sessions
 from hoistmoor.core.relay import freshness
 from hoistmoor.core.relay import mirror
+from hoistmoor.core.relay import outstanding
 from hoistmoor.core.relay import router as router_lib
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import admission
@@ -22,11 +23,13 @@
 from hoistmoor.relay import follower
 from hoistmoor.relay import front as front_lib
 from hoistmoor.relay import listeners
+from hoistmoor.relay import peer_client
 from hoistmoor.relay import peers
 from hoistmoor.relay import relay_task
 from hoistmoor.relay import rollout_task
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
+from hoistmoor.relay import work_exchange
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
 
@@ -98,6 +101,7 @@
             counters=counters.Counters(),
             router=router_lib.Router(settings.zone, _bounds(settings), draws),
             lease=freshness.ConfigurationLease(settings.revocation),
+            outstanding=outstanding.OutstandingWork(settings.zone),
         )
         dialect = dialect_lib.Dialect(
             attempt_header=platform.headers.request_id,
@@ -166,8 +170,13 @@
         self._loops["listing"] = peers.SelfListing(
             self.state, platform.topics.hosts, own
         ).run
-        self._loops["peers"] = peers.PeerReader(
-            self.state, self._sources, self.followers, peer_session
+        client = peer_client.PeerClient(self.state, peer_session)
+        reader = peers.PeerReader(
+            self.state, self._sources, self.followers, client
+        )
+        self._loops["peers"] = reader.run
+        self._loops["work"] = work_exchange.WorkExchange(
+            self.state, self._sources, reader, client
         ).run
 
     async def serve(self, stop: asyncio.Event) -> None:
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -30,13 +30,20 @@
 
 @attrs.frozen
 class CopyRequest:
-    """Asks for what is new.
+    """Asks for what is new, and tells what the asking host has under way.
 
     Attributes:
         offsets: Where to read on, by topic; None for everything.
+        host: Name of the asking host.
+        zone: Its failure domain.
+        work: Its work by server; of a host in another failure domain, with
+            the work of the hosts that ask it.
     """
 
     offsets: dict[str, int | None]
+    host: str = ""
+    zone: str = ""
+    work: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -46,10 +53,13 @@
     Attributes:
         age: Seconds since the configuration was known current there.
         topics: By name; topics that were not read yet are left out.
+        work: Work by server of all hosts known there but the asking one; to
+            a host of another failure domain, of those in this one.
     """
 
     age: float
     topics: dict[str, TopicCopy]
+    work: dict[str, float] = attrs.field(factory=dict)
 
 
 def _make_converter() -> cattrs.Converter:
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -10,10 +10,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 
-from hoistmoor.clients import replies
 from hoistmoor.core import errors
 from hoistmoor.relay import follower as follower_lib
 from hoistmoor.relay import peer_codec
@@ -22,10 +20,10 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay import mirror
     from hoistmoor.core.relay import topics
+    from hoistmoor.relay import peer_client
     from hoistmoor.relay import state as state_lib
 
 PERIOD = 0.4  # Seconds between two questions.
-TIMEOUT = 0.3  # Seconds for an answer; hosts of one failure domain are near.
 # Age of a configuration above which a copy is not current enough. A host that
 # reads the store itself stays below 1.1 s.
 OLDEST = 1.5
@@ -83,25 +81,41 @@
             if follower is not None and new is not None:
                 outage = min(follower.after_outage, _FOREVER)
                 copies[name] = peer_codec.TopicCopy(new, outage)
-        age = min(self._state.lease.age(self._state.clock()), _FOREVER)
-        return peer_codec.CopyAnswer(age, copies)
+        now = self._state.clock()
+        age = min(self._state.lease.age(now), _FOREVER)
+        return peer_codec.CopyAnswer(age, copies, self._work_for(asked, now))
+
+    def _work_for(
+        self, asked: peer_codec.CopyRequest, now: float
+    ) -> dict[str, float]:
+        """Takes the asking host's work; returns that of the others."""
+        outstanding = self._state.outstanding
+        outstanding.take(asked.host, asked.zone, asked.work, now)
+        own = self._state.router.fleet.own_work()
+        if asked.zone == outstanding.zone:
+            return outstanding.all_others(own, now, asked.host)
+        return outstanding.near(own, now)
 
 
 class PeerReader:
-    """Asks other hosts, and switches the followers to the store if need be."""
+    """Asks other hosts, and switches the followers to the store if need be.
+
+    Attributes:
+        source: Name of the host that it asks; empty while it reads the store.
+    """
 
     def __init__(
         self,
         state: state_lib.RelayState,
         sources: mirror.Sources,
         followers: dict[str, follower_lib.TopicFollower],
-        session: aiohttp.ClientSession,
+        client: peer_client.PeerClient,
     ) -> None:
         self._state = state
         self._sources = sources
         self._followers = followers
-        self._session = session
-        self._source = ""
+        self._client = client
+        self.source = ""
 
     async def run(self) -> None:
         """Asks until cancelled."""
@@ -112,8 +126,8 @@
             if len(self._state.topics_read) < len(self._followers):
                 continue
             found = await self._ask_any()
-            if found != self._source:
-                self._source = found
+            if found != self.source:
+                self.source = found
                 self._state.believe("source", host=found or "store")
             for follower in self._followers.values():
                 if found:
@@ -132,15 +146,14 @@
 
     async def _ask(self, host: mirror.Host) -> bool:
         asked = peer_codec.CopyRequest(
-            {name: each.next_offset for name, each in self._followers.items()}
+            {name: each.next_offset for name, each in self._followers.items()},
+            self._sources.own,
+            self._sources.zone,
+            self._state.router.fleet.own_work(),
         )
         sent_at = self._state.clock()
-        try:
-            answer = await self._exchange(host, peer_codec.encode(asked))
-        except (*replies.TRANSPORT_ERRORS, ValueError) as error:
-            self._state.log.write(
-                "host_silent", peer=host.name, detail=repr(error)
-            )
+        answer = await self._client.ask(host, asked)
+        if answer is None:
             return False
         if answer.age + self._state.clock() - sent_at > OLDEST:
             self._state.log.write(
@@ -150,20 +163,11 @@
         self._take(answer, sent_at)
         return True
 
-    async def _exchange(
-        self, host: mirror.Host, question: bytes
-    ) -> peer_codec.CopyAnswer:
-        async with self._session.post(
-            f"http://{host.address}/topics",
-            data=question,
-            timeout=aiohttp.ClientTimeout(total=TIMEOUT),
-        ) as reply:
-            return peer_codec.decode_answer(await reply.read())
-
     def _take(self, answer: peer_codec.CopyAnswer, sent_at: float) -> None:
         # The answer was made after the question was sent, and its age counts
         # from when it was made.
         current_at = sent_at - answer.age
+        self._state.router.fleet.take_others_work(answer.work, sent_at)
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
             # A read of the store that is under way may have gone further.
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -8,6 +8,7 @@
 
 from hoistmoor.core.relay import configuration as configuration_lib
 from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import outstanding as outstanding_lib
 from hoistmoor.core.relay import router as router_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
@@ -23,6 +24,7 @@
         counters: What is counted.
         router: Backend servers, roll-outs, budgets.
         lease: Whether the configuration may be used.
+        outstanding: Work of other hosts at the backend servers.
         configuration: In force here; None before the first.
         topics_read: Topics whose newest records were read.
         draining: Whether a stop signal came; requests are still taken.
@@ -34,6 +36,7 @@
     counters: counters_lib.Counters
     router: router_lib.Router
     lease: freshness.ConfigurationLease
+    outstanding: outstanding_lib.OutstandingWork
     configuration: configuration_lib.Configuration | None = None
     topics_read: set[str] = attrs.field(factory=set)
     draining: bool = False
--- /dev/null
+++ b/tests/core/relay/test_relay_outstanding.py
@@ -0,0 +1,102 @@
+"""What hosts tell one another of the work that they have under way."""
+
+from __future__ import annotations
+
+import pytest
+import relay_parts
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay import fleet as fleet_lib
+from hoistmoor.core.relay import outstanding as outstanding_lib
+from hoistmoor.core.relay import partition
+from hoistmoor.core.relay import placement
+from hoistmoor.core.relay import requests
+from hoistmoor.core.routing import hashing
+
+NOW = 100.0
+OWN = {"a": 1.0}
+
+
+@pytest.fixture
+def known() -> outstanding_lib.OutstandingWork:
+    """What two hosts of this failure domain and one of another told."""
+    made = outstanding_lib.OutstandingWork("north")
+    made.take("n2", "north", {"a": 2.0, "b": 4.0}, NOW)
+    made.take("n3", "north", {"b": 8.0}, NOW)
+    made.take("s1", "south", {"c": 16.0}, NOW)
+    return made
+
+
+def test_a_host_is_told_the_work_of_all_others(
+    known: outstanding_lib.OutstandingWork,
+) -> None:
+    told = known.all_others(OWN, NOW, "n2")
+    assertions.assert_that(
+        told, matchers.Equals({"a": 1.0, "b": 8.0, "c": 16.0})
+    )
+
+
+def test_another_failure_domain_is_told_the_sum_of_this_one(
+    known: outstanding_lib.OutstandingWork,
+) -> None:
+    assertions.assert_that(
+        known.near(OWN, NOW), matchers.Equals({"a": 3.0, "b": 12.0})
+    )
+
+
+def test_a_host_that_falls_silent_counts_no_more(
+    known: outstanding_lib.OutstandingWork,
+) -> None:
+    later = NOW + outstanding_lib.REPORT_LIFE + 0.1
+    known.take("n3", "north", {"b": 1.0}, later)
+    assertions.assert_that(
+        known.all_others({}, later, ""), matchers.Equals({"b": 1.0})
+    )
+
+
+def test_many_hosts_with_the_same_news_do_not_all_choose_the_same_engine() -> (
+    None
+):
+    ready = [
+        fleet_lib.ServerState(
+            relay_parts.entry(f"e{number}", service="llm", slots=64)
+        )
+        for number in range(40)
+    ]
+    work_class = partition.WorkClass(0, 3, False)
+    # Nothing of it is shared, so no engine has any of it cached.
+    own_prompt = requests.Prompt(
+        "*", 1000, 50, (requests.PromptPart("own", 1000),)
+    )
+    chosen = set()
+    for host in range(40):
+        found = placement.pick_engine(
+            ready,
+            relay_parts.request(relay_parts.CHAT, prompt=own_prompt),
+            "small",
+            partition.distances(work_class, ready),
+            1000.0,
+            hashing.Draws.seeded(host),
+            NOW,
+        )
+        assert found is not None
+        chosen.add(found.entry.server_id)
+    assertions.assert_that(len(chosen), matchers.GreaterThan(4))
+
+
+def test_work_that_others_told_counts_until_it_is_old() -> None:
+    fleet = fleet_lib.Fleet()
+    fleet.put(relay_parts.entry("a"))
+    state = fleet.servers["a"]
+    state.others, state.others_at = 3, NOW
+    fleet.take_others_work({"a": 500.0}, NOW)
+    state.work = 20.0
+    assertions.assert_that(
+        state.waiting_work(100.0, NOW + 0.1), matchers.Equals(520.0)
+    )
+    # Without news, what the server last told of its load is all there is.
+    assertions.assert_that(
+        state.waiting_work(100.0, NOW + fleet_lib.WORK_LIFE),
+        matchers.Equals(320.0),
+    )
--- a/tests/core/relay/test_relay_placement.py
+++ b/tests/core/relay/test_relay_placement.py
@@ -39,6 +39,7 @@
         model,
         partition.distances(work_class, ready),
         1000.0,
+        DRAWS,
         NOW,
     )
     assert found is not None
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -17,6 +17,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay import fleet as fleet_lib
 from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import outstanding
 from hoistmoor.core.relay import router as router_lib
 from hoistmoor.core.relay import topics
 from hoistmoor.core.routing import hashing
@@ -70,6 +71,7 @@
             "north", router_lib.Bounds(), hashing.Draws.seeded(1)
         ),
         lease=freshness.ConfigurationLease(5.0),
+        outstanding=outstanding.OutstandingWork("north"),
     )
     yield Rig(state, clock, reading)
     os.close(reading)
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -195,3 +195,14 @@
     await until(lambda: asker.reads_itself)
     await platform.publish(platform.servers, "b", relay_parts.entry("b"))
     await until(lambda: "b" in asker.relay.state.router.fleet.servers)
+
+
+async def test_hosts_tell_one_another_the_work_that_they_have_under_way(
+    platform: relay_platform.MemoryPlatform, pair: list[Member]
+) -> None:
+    await platform.publish(platform.servers, "a", relay_parts.entry("a"))
+    servers = [each.relay.state.router.fleet.servers for each in pair]
+    await until(lambda: all("a" in each for each in servers))
+    servers[0]["a"].work, servers[1]["a"].work = 300.0, 20.0
+    await until(lambda: servers[1]["a"].others_work == 300.0)
+    await until(lambda: servers[0]["a"].others_work == 20.0)
