Make fewer calls to the store: counts through the hosts that read, one look at a start

Ruled out: the readers of each failure domain alone (about 3 a second each). Change: hosts tell their counts to the host they ask, which writes them as one record; only hosts that read the store write phases. While the store is away one topic is tried and the others wait; a stale source is asked again and again instead of resting. A read that brought news is followed by one without a wait, as sources were taken for stale after each change. Found on the way: a host that had read the counts never went back to a source (test_a_host_reads_itself_...).

--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -16,8 +16,9 @@
 from hoistmoor.core.relay import topics
 
 KEPT = 512  # Changes of a topic that are passed on one by one.
-# Hosts asked before the store is: each may cost a timeout.
-ASKED = 2
+# Hosts asked before the store is. The store turns away a third of the hosts
+# at times: that all of these are among them is then one chance in a hundred.
+ASKED = 4
 FIRST_REST = 2.0  # Seconds for which a host that failed is not asked.
 LONGEST_REST = 30.0
 
@@ -124,6 +125,11 @@
                 before.append(host)
         return before[:ASKED]
 
+    def is_asked(self) -> bool:
+        """Returns whether other hosts count on this one."""
+        ranked = self._ranked(self.zone)[:ASKED]
+        return self.own in {host.name for host in ranked}
+
     def first_elsewhere(self, now: float) -> list[Host]:
         """Returns the host of each other failure domain that others ask."""
         zones = {host.zone for host in self.hosts.values()} - {self.zone}
@@ -147,11 +153,11 @@
         return self._rests.get(host.name, (0.0, 0.0))[0] > now
 
     def note_failed(self, name: str, now: float) -> None:
-        """Has a host rest that did not answer, or with nothing current."""
+        """Has a host rest that did not answer."""
         _, rest = self._rests.get(name, (0.0, FIRST_REST / 2))
         rest = min(LONGEST_REST, 2 * rest)
         self._rests[name] = (now + rest, rest)
 
     def note_answered(self, name: str) -> None:
-        """Notes that a host answered with something current."""
+        """Notes that a host answered."""
         self._rests.pop(name, None)
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -13,20 +13,16 @@
 import attrs
 import xxhash
 
+from hoistmoor.core.relay import evidence as evidence_lib
+
 TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
 SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
 COMPLETE_AT = 0.85  # Part of it after which the old version is given up.
 # Part of the sessions, by a hash that all hosts share, that may join a trial.
 SESSION_SHARE = 0.1
 MIN_PROOF = 20  # Answers of the target, of all hosts, before all requests move.
-MIN_ANSWERS = 8  # Answers of one route before its share of failures counts.
-MIN_BAD = 5  # Bad answers before a version is judged.
-FAILURE_FACTOR = 2.0  # Times the old version's failures, and
-FAILURE_SLACK = 0.1  # this share more, make a version bad.
 SLOW_PACE = 3.5  # Times the usual duration that make an answer slow.
-SLOW_SHARE = 0.35  # Share of slow answers, above the old one's, that is bad.
-# Seconds after its last evidence that a host has its turn; hosts that only
-# look now and then must still know of it.
+# Seconds after its last record of counts that a host has its turn.
 ACTOR_LIFE = 8.0
 TURN = 0.6  # Seconds that each host waits for those before it.
 
@@ -79,85 +75,8 @@
     phase: Phase
 
 
-@attrs.define
-class Tally:
-    """Answers of one version on one route.
-
-    Attributes:
-        answers: Whole answers.
-        failures: Those that said that the server failed.
-        slow: Those that took several times the usual time.
-    """
-
-    answers: int = 0
-    failures: int = 0
-    slow: int = 0
-
-    def add(self, other: Tally) -> None:
-        """Adds another host's counts."""
-        self.answers += other.answers
-        self.failures += other.failures
-        self.slow += other.slow
-
-    def share(self, count: int) -> float:
-        """Returns ``count`` as a share of all answers."""
-        return count / self.answers if self.answers else 0.0
-
-
-@attrs.frozen
-class RouteEvidence:
-    """Answers on one route: of the target, and of the versions before it."""
-
-    target: Tally = attrs.field(factory=Tally)
-    others: Tally = attrs.field(factory=Tally)
-
-
-@attrs.frozen
-class Evidence:
-    """What one run of one host has counted in one roll-out.
-
-    Attributes:
-        service: The service.
-        number: Number of the order.
-        host: Name of the host and of its run.
-        routes: Counts by the route's name.
-    """
-
-    service: str
-    number: int
-    host: str
-    routes: dict[str, RouteEvidence] = attrs.field(factory=dict)
-
-
-def pool(all_evidence: list[Evidence]) -> dict[str, RouteEvidence]:
-    """Returns the counts of several hosts, added up by route."""
-    pooled: dict[str, RouteEvidence] = {}
-    for evidence in all_evidence:
-        for name, route in evidence.routes.items():
-            sums = pooled.setdefault(name, RouteEvidence())
-            sums.target.add(route.target)
-            sums.others.add(route.others)
-    return pooled
-
-
-def is_bad(route: RouteEvidence) -> bool:
-    """Returns whether the target does worse on a route than the others."""
-    target, others = route.target, route.others
-    if target.answers < MIN_ANSWERS:
-        return False
-    usual = others.share(others.failures)
-    if (
-        target.failures >= MIN_BAD
-        and target.share(target.failures)
-        > FAILURE_FACTOR * usual + FAILURE_SLACK
-    ):
-        return True
-    slower = target.share(target.slow) - others.share(others.slow)
-    return target.slow >= MIN_BAD and slower > SLOW_SHARE
-
-
 def next_phase(
-    phase: Phase, pooled: dict[str, RouteEvidence], elapsed: float
+    phase: Phase, pooled: dict[str, evidence_lib.RouteEvidence], elapsed: float
 ) -> Phase | None:
     """Returns the phase that should follow now, or None to wait.
 
@@ -168,7 +87,7 @@
     """
     if phase.is_final:
         return None
-    if any(is_bad(route) for route in pooled.values()):
+    if any(evidence_lib.is_bad(route) for route in pooled.values()):
         return Phase.REVERTED
     proved = sum(route.target.answers for route in pooled.values())
     if phase is Phase.TRIAL and elapsed >= SPREAD_AT and proved >= MIN_PROOF:
@@ -208,7 +127,7 @@
     order: Order
     seen_at: float
     phase: Phase = Phase.TRIAL
-    counts: dict[str, RouteEvidence] = attrs.field(factory=dict)
+    counts: dict[str, evidence_lib.RouteEvidence] = attrs.field(factory=dict)
     sent: int = 0
     sent_target: int = 0
 
@@ -220,21 +139,16 @@
         self, route: str, version: str, failed: bool, slow: bool
     ) -> None:
         """Counts a whole answer."""
-        evidence = self.counts.setdefault(route, RouteEvidence())
+        evidence = self.counts.setdefault(route, evidence_lib.RouteEvidence())
         is_target = version == self.order.target
         tally = evidence.target if is_target else evidence.others
         tally.answers += 1
         tally.failures += failed
         tally.slow += slow
 
-    @property
-    def target_answers(self) -> int:
-        """Answers of the target that this host has counted."""
-        return sum(route.target.answers for route in self.counts.values())
-
     def has_local_doubt(self) -> bool:
         """Returns whether this host's own counts suffice to stop a trial."""
-        return any(is_bad(route) for route in self.counts.values())
+        return any(evidence_lib.is_bad(route) for route in self.counts.values())
 
 
 def _is_drawn(session: str, number: int) -> bool:
@@ -310,9 +224,19 @@
             progress.phase = record.phase
         return known != record
 
-    def phase_of(self, service: str, target: str) -> PhaseRecord | None:
-        """Returns the newest phase of a version's roll-out."""
-        return self._phases.get((service, target))
+    def counted(self, run_name: str) -> tuple[evidence_lib.Evidence, ...]:
+        """Returns what this host counted in the roll-outs under way.
+
+        Args:
+            run_name: Name of this run of this host; no other has it.
+        """
+        return tuple(
+            evidence_lib.Evidence(
+                each.order.service, each.order.number, run_name, each.counts
+            )
+            for each in self.progress.values()
+            if not each.phase.is_final
+        )
 
     def _note_withdrawn(self, record: PhaseRecord) -> None:
         withdrawn = self.withdrawn.setdefault(record.service, set())
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -29,6 +29,7 @@
 from hoistmoor.relay import rollout_task
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
+from hoistmoor.relay import store_gate
 from hoistmoor.relay import work_exchange
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
@@ -54,6 +55,9 @@
 SERVERS_PAUSE = 0.7
 # Topics that seldom change, and of whose change nobody need hear at once.
 SLOW_WAIT = 5.0
+# Hosts that start together, within 0.3 s, are to see one another in one read.
+HOSTS_DELAY = 0.35
+HOSTS_PAUSE = 1.0
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
 UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
 LARGEST_LINE = 16384  # Bytes of one line of a request's head.
@@ -102,6 +106,7 @@
             router=router_lib.Router(settings.zone, _bounds(settings), draws),
             lease=freshness.ConfigurationLease(settings.revocation),
             outstanding=outstanding.OutstandingWork(settings.zone),
+            run_name=f"{settings.host}-{seed:016x}",
         )
         dialect = dialect_lib.Dialect(
             attempt_header=platform.headers.request_id,
@@ -118,7 +123,7 @@
             self.state, settings, read_settings, self.apply
         )
         self._make_followers(platform)
-        self._make_tasks(platform, f"{settings.host}-{seed:016x}", peer_session)
+        self._make_tasks(platform, peer_session)
 
     def apply(self, settings: settings_lib.RelaySettings) -> None:
         """Puts changed settings in force; addresses stay until a restart."""
@@ -133,25 +138,57 @@
         servers = listeners.ServerListener(state, platform.codec)
         phases = listeners.PhaseListener(state)
         hosts = peers.HostListener(state, self._sources)
-        plan: list[
-            tuple[str, ports.KeyedTopic, follower.Listener, float, float]
-        ] = [
-            ("operator", topics.operator, operator, OPERATOR_WAIT, SHORT_PAUSE),
-            ("servers", topics.servers, servers, SERVERS_WAIT, SERVERS_PAUSE),
-            ("phases", topics.phases, phases, SLOW_WAIT, SHORT_PAUSE),
-            ("hosts", topics.hosts, hosts, SLOW_WAIT, SHORT_PAUSE),
-        ]
+        self._gate = gate = store_gate.StoreGate()
+        # Where other hosts may be asked, it is known soon who reads.
+        yields = bool(self.settings.peer_listen)
         self.followers = {
-            name: follower.TopicFollower(
-                state, name, topic, listener, wait=wait, pause=pause
-            )
-            for name, topic, listener, wait, pause in plan
+            "operator": follower.TopicFollower(
+                state,
+                "operator",
+                topics.operator,
+                operator,
+                wait=OPERATOR_WAIT,
+                pause=SHORT_PAUSE,
+                gate=gate,
+                is_probe=True,
+                yields=yields,
+            ),
+            "servers": follower.TopicFollower(
+                state,
+                "servers",
+                topics.servers,
+                servers,
+                wait=SERVERS_WAIT,
+                pause=SERVERS_PAUSE,
+                gate=gate,
+                yields=yields,
+            ),
+            "phases": follower.TopicFollower(
+                state,
+                "phases",
+                topics.phases,
+                phases,
+                wait=SLOW_WAIT,
+                pause=SHORT_PAUSE,
+                gate=gate,
+                yields=yields,
+            ),
+            "hosts": follower.TopicFollower(
+                state,
+                "hosts",
+                topics.hosts,
+                hosts,
+                wait=SLOW_WAIT,
+                pause=HOSTS_PAUSE,
+                gate=gate,
+                delay=HOSTS_DELAY if yields else 0.0,
+                yields=yields,
+            ),
         }
 
     def _make_tasks(
         self,
         platform: ports.Platform,
-        run_name: str,
         peer_session: aiohttp.ClientSession,
     ) -> None:
         settings = self.settings
@@ -161,8 +198,8 @@
             self.state,
             platform.topics,
             platform.codec,
-            run_name,
             self.followers["phases"],
+            self._gate,
         ).run
         if not settings.peer_listen:
             return
@@ -172,11 +209,11 @@
         ).run
         client = peer_client.PeerClient(self.state, peer_session)
         reader = peers.PeerReader(
-            self.state, self._sources, self.followers, client
+            self.state, self._sources, self.followers, client, self._gate
         )
         self._loops["peers"] = reader.run
         self._loops["work"] = work_exchange.WorkExchange(
-            self.state, self._sources, reader, client
+            self.state, self._sources, client
         ).run
 
     async def serve(self, stop: asyncio.Event) -> None:
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -14,9 +14,7 @@
 if TYPE_CHECKING:
     from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
-
-FIRST_BACKOFF = 0.1  # Seconds after the first failed call.
-LONGEST_BACKOFF = 0.5  # Short, as the lease on the configuration is.
+    from hoistmoor.relay import store_gate
 
 
 @attrs.frozen
@@ -63,6 +61,10 @@
         *,
         wait: float,
         pause: float,
+        gate: store_gate.StoreGate,
+        is_probe: bool = False,
+        delay: float = 0.0,
+        yields: bool = False,
     ) -> None:
         """Makes a follower.
 
@@ -73,6 +75,12 @@
             listener: Told of each batch, the empty ones too.
             wait: Seconds for which the store may hold a read back.
             pause: Seconds between two reads; more records come in one then.
+            gate: Holds reads back while the store is away.
+            is_probe: Whether this topic shows that the store is back, and is
+                to be proved current all the time.
+            delay: Seconds until the first read.
+            yields: Whether it reads no more after its first snapshot until
+                ``direct`` is set: another host may read for this one.
         """
         self.name = name
         self.next_offset: int | None = None
@@ -84,12 +92,17 @@
         self._listener = listener
         self._wait = wait
         self._pause = pause
-        self._backoff = FIRST_BACKOFF
+        self._gate = gate
+        self._is_probe = is_probe
+        self._delay = delay
+        self._yields = yields
+        self._is_unproved = False
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
 
     async def run(self) -> None:
         """Reads until cancelled."""
+        await asyncio.sleep(self._delay)
         while True:
             await self.direct.wait()
             try:
@@ -101,17 +114,23 @@
                 self.next_offset = None
             except errors.HoistmoorError as error:
                 self._note_lost(error)
-                await asyncio.sleep(self._backoff)
-                self._backoff = min(LONGEST_BACKOFF, 2 * self._backoff)
+                await self._hold_back()
             else:
+                if self._yields:
+                    self._yields = False
+                    self.direct.clear()
                 await asyncio.sleep(self._pause)
 
+    async def _hold_back(self) -> None:
+        if self._is_probe:
+            await self._gate.back_off()
+        else:
+            await self._gate.wait_until_heard()
+
     async def read_once(self) -> None:
         """Reads one batch and tells the listener."""
         sent_at = self._state.clock()
-        # A store that may be away is asked for a quick answer, so that its
-        # return shows at once.
-        wait = self._wait if self._lost_at is None else 0.0
+        wait = 0.0 if self._is_urgent else self._wait
         asked_from = self.next_offset
         if asked_from is None:
             batch = await self._topic.newest()
@@ -124,8 +143,21 @@
         was_held = self._state.clock() - sent_at >= wait
         if was_held and not batch.records and not batch.is_snapshot:
             current_at += wait
+        self._is_unproved = bool(batch.records) and not batch.is_snapshot
         self.take(Update(batch, current_at, self.after_outage))
 
+    @property
+    def _is_urgent(self) -> bool:
+        """Whether the next read should be answered at once.
+
+        A store that may be away shows its return so. And a read that ended
+        with news proves no more than when it was sent: the next one proves
+        the news current without a wait.
+        """
+        return self._lost_at is not None or (
+            self._is_probe and self._is_unproved
+        )
+
     def _was_overtaken(
         self, asked_from: int | None, batch: topics.Batch
     ) -> bool:
@@ -152,6 +184,7 @@
         self._state.topics_read.add(self.name)
 
     def _note_lost(self, error: errors.HoistmoorError) -> None:
+        self._gate.note_lost()
         if self._lost_at is None:
             self._lost_at = self._state.clock()
             self._state.believe(
@@ -159,7 +192,7 @@
             )
 
     def _note_heard(self) -> None:
-        self._backoff = FIRST_BACKOFF
+        self._gate.note_heard()
         if self._lost_at is None:
             return
         now = self._state.clock()
--- a/src/hoistmoor/relay/listeners.py
+++ b/src/hoistmoor/relay/listeners.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import orjson
-
 from hoistmoor.core import errors
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import fleet as fleet_lib
 from hoistmoor.core.relay import rollouts
 from hoistmoor.relay import rollout_codec
@@ -150,15 +149,16 @@
 
 
 class EvidenceListener:
-    """Keeps the newest counts of each host.
+    """Takes the counts that hosts which read the store have written.
 
     Attributes:
-        newest: Counts by key, and when they were read.
+        book: Counts of all hosts.
     """
 
     def __init__(self, state: state_lib.RelayState) -> None:
-        self.newest: dict[str, tuple[rollouts.Evidence, float]] = {}
+        self.book = evidence_lib.EvidenceBook()
         self._state = state
+        self._heard: dict[str, float] = {}
 
     def __call__(self, update: follower.Update) -> None:
         """Takes one update."""
@@ -166,27 +166,19 @@
             if record.value is None:
                 continue
             try:
-                evidence = rollout_codec.decode_evidence(record.value)
-            except (ValueError, orjson.JSONDecodeError) as error:
+                report = rollout_codec.decode_report(record.value)
+            except ValueError as error:
                 self._state.log.write("evidence_unreadable", detail=str(error))
                 continue
-            self.newest[record.key] = (evidence, self._state.clock())
-
-    def of(self, order: rollouts.Order) -> list[rollouts.Evidence]:
-        """Returns the counts of all hosts in one roll-out."""
-        return [
-            evidence
-            for evidence, _ in self.newest.values()
-            if evidence.service == order.service
-            and evidence.number == order.number
-        ]
+            self._heard[report.run_name] = self._state.clock()
+            for evidence in report.evidence:
+                self.book.take(evidence)
 
-    def live_hosts(self, order: rollouts.Order) -> list[str]:
-        """Returns the hosts that have lately told their counts."""
+    def live_writers(self) -> list[str]:
+        """Returns the runs of hosts that have lately written counts."""
         now = self._state.clock()
         return [
-            evidence.host
-            for evidence, at in self.newest.values()
-            if evidence.number == order.number
-            and now - at < rollouts.ACTOR_LIFE
+            run_name
+            for run_name, at in self._heard.items()
+            if now - at < rollouts.ACTOR_LIFE
         ]
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -9,6 +9,7 @@
 import cattrs
 import orjson
 
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import mirror
 from hoistmoor.core.relay import topics
 
@@ -38,12 +39,14 @@
         zone: Its failure domain.
         work: Its work by server; of a host in another failure domain, with
             the work of the hosts that ask it.
+        evidence: What it has counted in the roll-outs under way.
     """
 
     offsets: dict[str, int | None]
     host: str = ""
     zone: str = ""
     work: dict[str, float] = attrs.field(factory=dict)
+    evidence: tuple[evidence_lib.Evidence, ...] = ()
 
 
 @attrs.frozen
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -16,6 +16,7 @@
 from hoistmoor.relay import follower as follower_lib
 from hoistmoor.relay import peer_codec
 from hoistmoor.relay import ports
+from hoistmoor.relay import store_gate
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay import mirror
@@ -81,6 +82,8 @@
             if follower is not None and new is not None:
                 outage = min(follower.after_outage, _FOREVER)
                 copies[name] = peer_codec.TopicCopy(new, outage)
+        for evidence in asked.evidence:
+            self._state.evidence.take(evidence)
         now = self._state.clock()
         age = min(self._state.lease.age(now), _FOREVER)
         return peer_codec.CopyAnswer(age, copies, self._work_for(asked, now))
@@ -98,11 +101,7 @@
 
 
 class PeerReader:
-    """Asks other hosts, and switches the followers to the store if need be.
-
-    Attributes:
-        source: Name of the host that it asks; empty while it reads the store.
-    """
+    """Asks other hosts, and switches the followers to the store if need be."""
 
     def __init__(
         self,
@@ -110,12 +109,23 @@
         sources: mirror.Sources,
         followers: dict[str, follower_lib.TopicFollower],
         client: peer_client.PeerClient,
+        gate: store_gate.StoreGate,
     ) -> None:
+        """Makes the task.
+
+        Args:
+            state: What the relay knows.
+            sources: The other hosts.
+            followers: Read the store, by topic.
+            client: Carries the questions.
+            gate: Holds reads back while the store is away.
+        """
         self._state = state
+        self._gate = gate
+        self._stale: set[str] = set()
         self._sources = sources
         self._followers = followers
         self._client = client
-        self.source = ""
 
     async def run(self) -> None:
         """Asks until cancelled."""
@@ -123,12 +133,16 @@
             await asyncio.sleep(PERIOD)
             # Before its first snapshot a host reads the store: that is there
             # also when all hosts start at once.
-            if len(self._state.topics_read) < len(self._followers):
-                continue
-            found = await self._ask_any()
-            if found != self.source:
-                self.source = found
-                self._state.believe("source", host=found or "store")
+            has_all = self._followers.keys() <= self._state.topics_read
+            found = await self._ask_any() if has_all else ""
+            if found != self._state.source:
+                self._state.source = found
+                self._state.believe("source", peer=found or "store")
+            self._gate.longest_backoff = (
+                store_gate.LONGEST_BACKOFF
+                if self._sources.is_asked()
+                else store_gate.RELAXED_BACKOFF
+            )
             for follower in self._followers.values():
                 if found:
                     follower.direct.clear()
@@ -139,30 +153,38 @@
         """Returns the host that answered with something current, or empty."""
         for host in self._sources.candidates(self._state.clock()):
             if await self._ask(host):
-                self._sources.note_answered(host.name)
                 return host.name
-            self._sources.note_failed(host.name, self._state.clock())
         return ""
 
     async def _ask(self, host: mirror.Host) -> bool:
+        """Returns whether a host answered with something current."""
         asked = peer_codec.CopyRequest(
             {name: each.next_offset for name, each in self._followers.items()},
             self._sources.own,
             self._sources.zone,
             self._state.router.fleet.own_work(),
+            self._state.router.rollouts.counted(self._state.run_name),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
         if answer is None:
+            self._sources.note_failed(host.name, self._state.clock())
             return False
+        self._sources.note_answered(host.name)
         if answer.age + self._state.clock() - sent_at > OLDEST:
-            self._state.log.write(
-                "host_stale", peer=host.name, age=round(answer.age, 3)
-            )
+            self._note_stale(host, answer.age)
             return False
+        self._stale.discard(host.name)
         self._take(answer, sent_at)
         return True
 
+    def _note_stale(self, host: mirror.Host, age: float) -> None:
+        """Logs it once: the host is asked again and again until it is not."""
+        if host.name in self._stale:
+            return
+        self._stale.add(host.name)
+        self._state.log.write("host_stale", peer=host.name, age=round(age, 3))
+
     def _take(self, answer: peer_codec.CopyAnswer, sent_at: float) -> None:
         # The answer was made after the question was sent, and its age counts
         # from when it was made.
@@ -201,8 +223,6 @@
     async def run(self) -> None:
         """Returns once the host is listed."""
         entry = peer_codec.encode(self._host)
-        while not self._state.is_ready():
-            await asyncio.sleep(LIST_RETRY)
         while True:
             try:
                 await self._topic.put(self._host.name, entry)
--- a/src/hoistmoor/relay/rollout_codec.py
+++ b/src/hoistmoor/relay/rollout_codec.py
@@ -2,15 +2,30 @@
 
 from __future__ import annotations
 
+import attrs
 import cattrs
 import orjson
 
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import rollouts
 
 _CONVERTER = cattrs.Converter()
 
 
-def encode(record: rollouts.PhaseRecord | rollouts.Evidence) -> bytes:
+@attrs.frozen
+class EvidenceReport:
+    """What a host that reads the store tells the others.
+
+    Attributes:
+        run_name: Name of the run of the host that wrote it.
+        evidence: Its counts and those of the hosts that ask it.
+    """
+
+    run_name: str
+    evidence: tuple[evidence_lib.Evidence, ...]
+
+
+def encode(record: rollouts.PhaseRecord | EvidenceReport) -> bytes:
     """Returns a record's bytes."""
     return orjson.dumps(_CONVERTER.unstructure(record))
 
@@ -20,6 +35,9 @@
     return _CONVERTER.structure(orjson.loads(data), rollouts.PhaseRecord)
 
 
-def decode_evidence(data: bytes) -> rollouts.Evidence:
-    """Returns the counts that ``data`` holds."""
-    return _CONVERTER.structure(orjson.loads(data), rollouts.Evidence)
+def decode_report(data: bytes) -> EvidenceReport:
+    """Returns the counts that ``data`` holds; raises ``ValueError``."""
+    try:
+        return _CONVERTER.structure(orjson.loads(data), EvidenceReport)
+    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+        raise ValueError(f"not a report: {error!r}") from error
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -1,4 +1,8 @@
-"""Tells this host's counts in roll-outs, and writes phases in its turn."""
+"""Tells counts in roll-outs, and writes phases in turn.
+
+Only hosts that read the store themselves do so. The others tell their counts
+to the host that they ask, which writes them with its own.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import rollouts
 from hoistmoor.relay import follower as follower_lib
 from hoistmoor.relay import listeners
@@ -14,16 +19,9 @@
 if TYPE_CHECKING:
     from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay import store_gate
 
 PERIOD = 1.0  # Seconds between two looks; a roll-back has five.
-# Seconds between two tellings of this host's counts: with PERIOD and a turn
-# well below the five seconds that a roll-back may take.
-TELL_EVERY = 2.0
-# Hosts at the front of the order of turns that read all counts each time, and
-# the seconds between two reads of the others: what is read grows with the
-# square of the hosts if all of them read.
-READERS = 3
-OTHERS_READ_EVERY = 4.0
 
 
 class RolloutTask:
@@ -34,8 +32,8 @@
         state: state_lib.RelayState,
         topics: ports.Topics,
         codec: ports.Codec,
-        run_name: str,
         phases: follower_lib.TopicFollower,
+        gate: store_gate.StoreGate,
     ) -> None:
         """Makes the task.
 
@@ -43,28 +41,33 @@
             state: What the relay knows.
             topics: Where records are read and written.
             codec: Translates the status.
-            run_name: Name of this run of this host; no other has it.
             phases: Reads the phases; tells where that topic ends.
+            gate: Holds reads back while the store is away.
         """
         self._state = state
         self._topics = topics
         self._codec = codec
-        self._run_name = run_name
         self._phases = phases
         self._heard = listeners.EvidenceListener(state)
         self._evidence = follower_lib.TopicFollower(
-            state, "evidence", topics.evidence, self._heard, wait=0.0, pause=0.0
+            state,
+            "evidence",
+            topics.evidence,
+            self._heard,
+            wait=0.0,
+            pause=0.0,
+            gate=gate,
         )
         self._due_since: dict[rollouts.PhaseRecord, float] = {}
         self._told: dict[rollouts.Order, int] = {}
-        self._told_at = float("-inf")
-        self._read_at = float("-inf")
         self._status_written: dict[str, rollouts.PhaseRecord] = {}
 
     async def run(self) -> None:
         """Looks at all roll-outs until cancelled."""
         while True:
             await asyncio.sleep(PERIOD)
+            if self._state.source:
+                continue
             active = [
                 progress
                 for progress in self._state.router.rollouts.progress.values()
@@ -96,48 +99,35 @@
         )
 
     async def _look(self, active: list[rollouts.Progress]) -> None:
-        now = self._state.clock()
-        if now - self._told_at >= TELL_EVERY:
-            self._told_at = now
-            for progress in active:
-                await self._tell(progress)
-        if self._is_reader(active) or now - self._read_at >= OTHERS_READ_EVERY:
-            self._read_at = now
-            await self._evidence.read_once()
+        for progress in active:
+            await self._tell(progress)
+        await self._evidence.read_once()
         for progress in active:
             await self._advance(progress)
             await self._write_status(progress)
 
     async def _tell(self, progress: rollouts.Progress) -> None:
-        """Tells this host's counts, if the target has answered more."""
-        order = progress.order
-        answers = progress.target_answers
+        """Writes the counts known here, if the target has answered more."""
+        order, state = progress.order, self._state
+        for evidence in state.router.rollouts.counted(state.run_name):
+            state.evidence.take(evidence)
+        near = state.evidence.of(order.service, order.number)
+        answers = sum(each.target_answers for each in near)
         if self._told.get(order) == answers:
             return
-        evidence = rollouts.Evidence(
-            order.service, order.number, self._run_name, progress.counts
-        )
+        for evidence in near:
+            self._heard.book.take(evidence)
+        report = rollout_codec.EvidenceReport(state.run_name, tuple(near))
         await self._topics.evidence.put(
-            f"{order.service}/{self._run_name}",
-            rollout_codec.encode(evidence),
+            f"{order.service}/{state.run_name}", rollout_codec.encode(report)
         )
         self._told[order] = answers
 
-    def _is_reader(self, active: list[rollouts.Progress]) -> bool:
-        """Returns whether this host may soon have to write a phase."""
-        return any(
-            rollouts.rank_of(
-                self._run_name,
-                self._heard.live_hosts(progress.order),
-                progress.order.number,
-            )
-            < READERS
-            for progress in active
-        )
-
     async def _advance(self, progress: rollouts.Progress) -> None:
         order = progress.order
-        pooled = rollouts.pool(self._heard.of(order))
+        pooled = evidence_lib.pool(
+            self._heard.book.of(order.service, order.number)
+        )
         elapsed = progress.elapsed(self._state.clock())
         phase = rollouts.next_phase(progress.phase, pooled, elapsed)
         if phase is None or not self._is_my_turn(progress, phase):
@@ -169,7 +159,7 @@
         record = self._record(progress, phase)
         since = self._due_since.setdefault(record, now)
         turn = rollouts.turn_of(
-            self._run_name, self._heard.live_hosts(order), order.number
+            self._state.run_name, self._heard.live_writers(), order.number
         )
         return now - since >= turn
 
@@ -196,7 +186,7 @@
         self._status_written[service] = record
 
 
-def pooled_text(pooled: dict[str, rollouts.RouteEvidence]) -> str:
+def pooled_text(pooled: dict[str, evidence_lib.RouteEvidence]) -> str:
     """Returns counts for a log line: answers/failures/slow, target first."""
     texts = []
     for name, route in sorted(pooled.items()):
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hoistmoor.core.relay import configuration as configuration_lib
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import freshness
 from hoistmoor.core.relay import outstanding as outstanding_lib
 from hoistmoor.core.relay import router as router_lib
@@ -25,10 +26,14 @@
         router: Backend servers, roll-outs, budgets.
         lease: Whether the configuration may be used.
         outstanding: Work of other hosts at the backend servers.
+        run_name: Name of this run of this host; no other has it.
+        evidence: Counts in roll-outs of the hosts that ask this one.
         configuration: In force here; None before the first.
         topics_read: Topics whose newest records were read.
         draining: Whether a stop signal came; requests are still taken.
         stopping: Whether new requests are refused.
+        source: Name of the host that is asked for what the store says; empty
+            while this host reads the store itself.
     """
 
     clock: Callable[[], float]
@@ -37,10 +42,15 @@
     router: router_lib.Router
     lease: freshness.ConfigurationLease
     outstanding: outstanding_lib.OutstandingWork
+    run_name: str
+    evidence: evidence_lib.EvidenceBook = attrs.field(
+        factory=evidence_lib.EvidenceBook
+    )
     configuration: configuration_lib.Configuration | None = None
     topics_read: set[str] = attrs.field(factory=set)
     draining: bool = False
     stopping: bool = False
+    source: str = ""
 
     def believe(self, kind: str, **fields: object) -> None:
         """Writes and counts a change of what this host believes."""
--- /dev/null
+++ b/src/hoistmoor/relay/store_gate.py
@@ -0,0 +1,53 @@
+"""Holds back reads of the store while it is away."""
+
+from __future__ import annotations
+
+import asyncio
+
+FIRST_BACKOFF = 0.1  # Seconds after the first failed call.
+LONGEST_BACKOFF = 0.5  # Short, as the lease on the configuration is.
+# For hosts that learn of the store's return from others: they only look
+# whether it is there for them while it is not for those.
+RELAXED_BACKOFF = 2.0
+# Seconds after which a topic is tried though the store was not heard again.
+LONGEST_HOLD = 2.0
+
+
+class StoreGate:
+    """Shared by all that read the store.
+
+    One topic is tried again and again; the others wait until it is heard.
+
+    Attributes:
+        longest_backoff: Seconds between two tries of that topic, at most.
+    """
+
+    def __init__(self) -> None:
+        self.longest_backoff = LONGEST_BACKOFF
+        self._heard = asyncio.Event()
+        self._heard.set()
+        self._backoff = FIRST_BACKOFF
+
+    def note_heard(self) -> None:
+        """Notes that a call was answered."""
+        self._backoff = FIRST_BACKOFF
+        self._heard.set()
+
+    def note_lost(self) -> None:
+        """Notes that a call failed."""
+        self._heard.clear()
+
+    async def back_off(self) -> None:
+        """Waits until the topic that is tried should be tried again."""
+        wait = min(self.longest_backoff, self._backoff)
+        self._backoff = min(self.longest_backoff, 2 * wait)
+        await asyncio.sleep(wait)
+
+    async def wait_until_heard(self) -> None:
+        """Waits until another topic should be read again."""
+        await asyncio.sleep(FIRST_BACKOFF)
+        try:
+            async with asyncio.timeout(LONGEST_HOLD):
+                await self._heard.wait()
+        except TimeoutError:
+            return  # Only this topic may be there: it has to be tried.
--- a/src/hoistmoor/relay/work_exchange.py
+++ b/src/hoistmoor/relay/work_exchange.py
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay import mirror
     from hoistmoor.relay import peer_client
-    from hoistmoor.relay import peers
     from hoistmoor.relay import state as state_lib
 
 # Seconds between two exchanges of the hosts that read the store themselves.
@@ -28,7 +27,6 @@
         self,
         state: state_lib.RelayState,
         sources: mirror.Sources,
-        reader: peers.PeerReader,
         client: peer_client.PeerClient,
     ) -> None:
         """Makes the task.
@@ -36,19 +34,17 @@
         Args:
             state: What the relay knows.
             sources: The other hosts.
-            reader: Tells whether this host reads the store itself.
             client: Carries the questions.
         """
         self._state = state
         self._sources = sources
-        self._reader = reader
         self._client = client
 
     async def run(self) -> None:
         """Exchanges until cancelled."""
         while True:
             await asyncio.sleep(PERIOD)
-            if not self._reader.source:
+            if not self._state.source:
                 await self._exchange()
 
     async def _exchange(self) -> None:
--- a/tests/core/relay/test_relay_rollouts.py
+++ b/tests/core/relay/test_relay_rollouts.py
@@ -6,6 +6,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import rollouts
 
 Phase = rollouts.Phase
@@ -27,10 +28,10 @@
 
 def evidence(
     target: tuple[int, int, int], others: tuple[int, int, int]
-) -> dict[str, rollouts.RouteEvidence]:
+) -> dict[str, evidence_lib.RouteEvidence]:
     return {
-        "chat": rollouts.RouteEvidence(
-            rollouts.Tally(*target), rollouts.Tally(*others)
+        "chat": evidence_lib.RouteEvidence(
+            evidence_lib.Tally(*target), evidence_lib.Tally(*others)
         )
     }
 
@@ -98,7 +99,7 @@
     book: rollouts.RolloutBook,
 ) -> None:
     progress = book.progress["llm"]
-    for _ in range(rollouts.MIN_ANSWERS):
+    for _ in range(evidence_lib.MIN_ANSWERS):
         progress.note_answer("chat", "v2", failed=True, slow=False)
     assertions.assert_that(set(send(book, 100)), matchers.Equals({"v1"}))
 
@@ -204,16 +205,33 @@
 
 
 def test_counts_of_all_hosts_are_added_up() -> None:
-    one = rollouts.Evidence("llm", 7, "a", evidence((1, 1, 0), (2, 0, 1)))
-    two = rollouts.Evidence("llm", 7, "b", evidence((3, 0, 1), (4, 1, 0)))
-    pooled = rollouts.pool([one, two])["chat"]
+    one = evidence_lib.Evidence("llm", 7, "a", evidence((1, 1, 0), (2, 0, 1)))
+    two = evidence_lib.Evidence("llm", 7, "b", evidence((3, 0, 1), (4, 1, 0)))
+    pooled = evidence_lib.pool([one, two])["chat"]
     assertions.assert_that(
-        pooled.target, matchers.Equals(rollouts.Tally(4, 1, 1))
+        pooled.target, matchers.Equals(evidence_lib.Tally(4, 1, 1))
     )
     assertions.assert_that(
-        pooled.others, matchers.Equals(rollouts.Tally(6, 1, 1))
+        pooled.others, matchers.Equals(evidence_lib.Tally(6, 1, 1))
     )
     # What hosts told is not changed by adding it up.
     assertions.assert_that(
-        one.routes["chat"].target, matchers.Equals(rollouts.Tally(1, 1, 0))
+        one.routes["chat"].target, matchers.Equals(evidence_lib.Tally(1, 1, 0))
     )
+
+
+def test_the_newer_counts_of_a_run_win_whatever_way_they_came() -> None:
+    old = evidence_lib.Evidence("llm", 7, "a", evidence((1, 0, 0), (2, 0, 0)))
+    new = evidence_lib.Evidence("llm", 7, "a", evidence((3, 1, 0), (2, 0, 0)))
+    other = evidence_lib.Evidence("llm", 7, "b", evidence((1, 0, 0), (0, 0, 0)))
+    for copies in ([old, new, other], [new, other, old, new]):
+        book = evidence_lib.EvidenceBook()
+        for each in copies:
+            book.take(each)
+        assertions.assert_that(
+            book.of("llm", 7),
+            matchers.MatchesSetwise(
+                matchers.Equals(new), matchers.Equals(other)
+            ),
+        )
+        assertions.assert_that(book.of("llm", 8), matchers.Equals([]))
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -26,6 +26,7 @@
 from hoistmoor.relay import follower
 from hoistmoor.relay import listeners
 from hoistmoor.relay import state as state_lib
+from hoistmoor.relay import store_gate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -72,6 +73,7 @@
         ),
         lease=freshness.ConfigurationLease(5.0),
         outstanding=outstanding.OutstandingWork("north"),
+        run_name="h1-1",
     )
     yield Rig(state, clock, reading)
     os.close(reading)
@@ -91,7 +93,13 @@
     """Follows the entries of backend servers."""
     listener = listeners.ServerListener(rig.state, platform.codec)
     return follower.TopicFollower(
-        rig.state, "servers", platform.servers, listener, wait=0.0, pause=0.0
+        rig.state,
+        "servers",
+        platform.servers,
+        listener,
+        wait=0.0,
+        pause=0.0,
+        gate=store_gate.StoreGate(),
     )
 
 
@@ -238,6 +246,8 @@
         listeners.OperatorListener(rig.state, platform.codec),
         wait=1.0,
         pause=0.0,
+        gate=store_gate.StoreGate(),
+        is_probe=True,
     )
     await reader.read_once()
     if adds:
@@ -260,6 +270,8 @@
         listeners.ServerListener(rig.state, platform.codec),
         wait=1.0,
         pause=0.0,
+        gate=store_gate.StoreGate(),
+        is_probe=True,
     )
     await reader.read_once()
     topic.is_away = True
@@ -274,6 +286,27 @@
     assertions.assert_that(topic.waits[-2:], matchers.Equals([0.0, 1.0]))
 
 
+async def test_a_read_that_brought_news_is_followed_by_one_that_proves_it(
+    rig: Rig, platform: relay_platform.MemoryPlatform
+) -> None:
+    topic = HeldTopic(clock=rig.clock)
+    reader = follower.TopicFollower(
+        rig.state,
+        "operator",
+        topic,
+        listeners.OperatorListener(rig.state, platform.codec),
+        wait=1.0,
+        pause=0.0,
+        gate=store_gate.StoreGate(),
+        is_probe=True,
+    )
+    await reader.read_once()
+    await platform.publish(topic, "config", relay_parts.in_force(2))
+    for _ in range(3):
+        await reader.read_once()
+    assertions.assert_that(topic.waits, matchers.Equals([1.0, 0.0, 1.0]))
+
+
 async def test_a_lease_needs_a_configuration(
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
@@ -284,6 +317,7 @@
         listeners.OperatorListener(rig.state, platform.codec),
         wait=0.0,
         pause=0.0,
+        gate=store_gate.StoreGate(),
     )
     await reader.read_once()
     assertions.assert_that(
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -15,7 +15,9 @@
 from testtools import matchers
 
 from hoistmoor.clients import sessions
+from hoistmoor.core.relay import rollouts
 from hoistmoor.relay import application
+from hoistmoor.relay import rollout_codec
 from hoistmoor.relay import settings as settings_lib
 
 if TYPE_CHECKING:
@@ -185,6 +187,10 @@
     await platform.publish(platform.operator, "config", newer)
     await until(lambda: asker.relay.state.configuration is newer)
     assertions.assert_that(asker.relay.state.is_ready(), matchers.Is(True))
+    # Having read what only readers read keeps it from nothing.
+    asker.relay.state.topics_read.add("evidence")
+    reader.operator.is_away = False
+    await until(lambda: not asker.reads_itself)
 
 
 async def test_a_host_reads_itself_where_its_source_is_gone(
@@ -206,3 +212,37 @@
     servers[0]["a"].work, servers[1]["a"].work = 300.0, 20.0
     await until(lambda: servers[1]["a"].others_work == 300.0)
     await until(lambda: servers[0]["a"].others_work == 20.0)
+
+
+async def test_one_host_writes_the_counts_of_both(
+    platform: relay_platform.MemoryPlatform,
+    pair: list[Member],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    order = rollouts.Order("llm", "v2", 60.0, 3)
+    await platform.publish(platform.operator, "rollout", order)
+    books = [each.relay.state.router.rollouts for each in pair]
+    await until(lambda: all("llm" in book.progress for book in books))
+    for book in books:
+        book.progress["llm"].note_answer("chat", "v2", True, False)
+
+    def told() -> set[str]:
+        newest = platform.evidence.records[-1:]
+        reports = [
+            rollout_codec.decode_report(record.value or b"")
+            for record in newest
+        ]
+        return {each.host for report in reports for each in report.evidence}
+
+    names = {each.relay.state.run_name for each in pair}
+    await until(lambda: told() == names)
+    writers = {record.key for record in platform.evidence.records}
+    reader = pair[0].relay.state.run_name
+    assertions.assert_that(writers, matchers.Equals({f"llm/{reader}"}))
+
+
+async def test_a_host_that_starts_beside_others_reads_each_topic_once(
+    platform: relay_platform.MemoryPlatform, pair: list[Member]
+) -> None:
+    assertions.assert_that(pair[1].operator.reads, matchers.LessThan(3))
+    assertions.assert_that(pair[1].servers.reads, matchers.LessThan(3))
