Read the store at one host for all, along a tree of hosts

Change: the first host of a failure domain asks the first of those before it; one host reads the store, with shorter waits. Work is told up and down the same tree, so the exchange of sums between failure domains goes. How old a copy may be depends on the hosts between it and the store. A host that begins to read asks for an answer at once, and leaves topics that change seldom for a second. An outage at the source is passed on, so that lapsed entries get their time there.

--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -1,6 +1,7 @@
 """What a host passes on of the topics that it reads, and whom it asks.
 
-Few hosts of each failure domain read the store; the others ask these. A copy
+One host reads the store. The first of each failure domain asks it, the others
+ask the first of their own. A copy
 tells how long ago it was known to be current, so a lease that rests on it
 ends as early as it would at the source.
 """
@@ -19,6 +20,8 @@
 # Hosts asked before the store is. The store turns away a third of the hosts
 # at times: that all of these are among them is then one chance in a hundred.
 ASKED = 4
+# First hosts of other failure domains that are asked besides.
+ASKED_FAR = 2
 FIRST_REST = 2.0  # Seconds for which a host that failed is not asked.
 LONGEST_REST = 30.0
 
@@ -114,39 +117,46 @@
     def candidates(self, now: float) -> list[Host]:
         """Returns the hosts to ask, best first; none to read the store.
 
-        They stand before this host in an order that all hosts of the failure
-        domain share, so nobody waits for one that waits for it.
+        They stand before this host in an order that all hosts share, so
+        nobody waits for one that waits for it: those of its failure domain,
+        then the first of each failure domain before its own.
         """
-        before: list[Host] = []
-        for host in self._ranked(self.zone):
-            if host.name == self.own:
-                break
-            if not self._is_resting(host, now):
-                before.append(host)
-        return before[:ASKED]
-
-    def is_asked(self) -> bool:
-        """Returns whether other hosts count on this one."""
-        ranked = self._ranked(self.zone)[:ASKED]
-        return self.own in {host.name for host in ranked}
-
-    def first_elsewhere(self, now: float) -> list[Host]:
-        """Returns the host of each other failure domain that others ask."""
-        zones = {host.zone for host in self.hosts.values()} - {self.zone}
-        first: list[Host] = []
-        for zone in sorted(zones):
-            awake = (
-                host
-                for host in self._ranked(zone)
-                if not self._is_resting(host, now)
+        near = [
+            host
+            for host in itertools.takewhile(
+                lambda host: host.name != self.own, self._ranked(self.zone)
             )
-            first += itertools.islice(awake, 1)
-        return first
+            if not self._is_resting(host, now)
+        ]
+        far = [
+            host
+            for zone in itertools.takewhile(
+                lambda zone: zone != self.zone, self._ranked_zones()
+            )
+            for host in self._first_awake(zone, now)
+        ]
+        return near[:ASKED] + far[:ASKED_FAR]
+
+    def is_first(self) -> bool:
+        """Returns whether it is the one that its failure domain counts on."""
+        return [host.name for host in self._ranked(self.zone)[:1]] == [self.own]
+
+    def _ranked_zones(self) -> list[str]:
+        zones = {host.zone for host in self.hosts.values()}
+        return sorted(zones, key=_digest)
+
+    def _first_awake(self, zone: str, now: float) -> list[Host]:
+        awake = (
+            host
+            for host in self._ranked(zone)
+            if not self._is_resting(host, now)
+        )
+        return list(itertools.islice(awake, 1))
 
     def _ranked(self, zone: str) -> list[Host]:
         return sorted(
             (host for host in self.hosts.values() if host.zone == zone),
-            key=lambda host: xxhash.xxh64_intdigest(host.name.encode()),
+            key=lambda host: _digest(host.name),
         )
 
     def _is_resting(self, host: Host, now: float) -> bool:
@@ -161,3 +171,7 @@
     def note_answered(self, name: str) -> None:
         """Notes that a host answered."""
         self._rests.pop(name, None)
+
+
+def _digest(name: str) -> int:
+    return xxhash.xxh64_intdigest(name.encode())
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -30,7 +30,6 @@
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
 from hoistmoor.relay import store_gate
-from hoistmoor.relay import work_exchange
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
 
@@ -48,11 +47,12 @@
 STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
 # Seconds that a read of the operators' topic may be held back, and the pause
 # after it: together they are the age of a configuration known to be current.
-OPERATOR_WAIT = 1.0
+OPERATOR_WAIT = 0.6
 SHORT_PAUSE = 0.05
-# Entries change many times a second; a pause reads several at once.
+# Entries change many times a second; a pause reads several at once. With two
+# copies from host to host, a server that leaves is known well in two seconds.
 SERVERS_WAIT = 1.0
-SERVERS_PAUSE = 0.7
+SERVERS_PAUSE = 0.35
 # Topics that seldom change, and of whose change nobody need hear at once.
 SLOW_WAIT = 5.0
 # Hosts that start together, within 0.3 s, are to see one another in one read.
@@ -105,7 +105,7 @@
             counters=counters.Counters(),
             router=router_lib.Router(settings.zone, _bounds(settings), draws),
             lease=freshness.ConfigurationLease(settings.revocation),
-            outstanding=outstanding.OutstandingWork(settings.zone),
+            outstanding=outstanding.OutstandingWork(),
             run_name=f"{settings.host}-{seed:016x}",
         )
         dialect = dialect_lib.Dialect(
@@ -212,9 +212,6 @@
             self.state, self._sources, self.followers, client, self._gate
         )
         self._loops["peers"] = reader.run
-        self._loops["work"] = work_exchange.WorkExchange(
-            self.state, self._sources, client
-        ).run
 
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then stops gracefully."""
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -48,6 +48,7 @@
     Attributes:
         name: Of the topic, in log lines.
         next_offset: Where it reads on; None before a snapshot.
+        current_at: Steady time at which it was last known to be current.
         mirror: The topic as this host knows it.
         direct: Set while this host reads the store itself.
     """
@@ -84,6 +85,7 @@
         """
         self.name = name
         self.next_offset: int | None = None
+        self.current_at = float("-inf")
         self.mirror = mirror_lib.TopicMirror()
         self.direct = asyncio.Event()
         self.direct.set()
@@ -121,6 +123,12 @@
                     self.direct.clear()
                 await asyncio.sleep(self._pause)
 
+    def read_directly(self) -> None:
+        """Has this host read the store itself, the first time at once."""
+        if not self.direct.is_set():
+            self._is_unproved = True
+            self.direct.set()
+
     async def _hold_back(self) -> None:
         if self._is_probe:
             await self._gate.back_off()
@@ -178,6 +186,11 @@
     def take(self, update: Update) -> None:
         """Takes what was read, here or by another host, and tells of it."""
         batch = update.batch
+        self.current_at = max(self.current_at, update.current_at)
+        # An outage at the source is one for those that ask this host, too.
+        self._regained_at = max(
+            self._regained_at, self._state.clock() - update.after_outage
+        )
         self.next_offset = batch.next_offset
         self.mirror.take(batch)
         self._listener(update)
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -36,15 +36,12 @@
     Attributes:
         offsets: Where to read on, by topic; None for everything.
         host: Name of the asking host.
-        zone: Its failure domain.
-        work: Its work by server; of a host in another failure domain, with
-            the work of the hosts that ask it.
-        evidence: What it has counted in the roll-outs under way.
+        work: Work by server, of it and of the hosts that ask it.
+        evidence: What these have counted in the roll-outs under way.
     """
 
     offsets: dict[str, int | None]
     host: str = ""
-    zone: str = ""
     work: dict[str, float] = attrs.field(factory=dict)
     evidence: tuple[evidence_lib.Evidence, ...] = ()
 
@@ -54,13 +51,14 @@
     """What is new.
 
     Attributes:
-        age: Seconds since the configuration was known current there.
+        age: Seconds since the operators' topic was known current there.
+        depth: Hosts between that one and the store.
         topics: By name; topics that were not read yet are left out.
-        work: Work by server of all hosts known there but the asking one; to
-            a host of another failure domain, of those in this one.
+        work: Work by server, of all other hosts that are known there.
     """
 
     age: float
+    depth: int
     topics: dict[str, TopicCopy]
     work: dict[str, float] = attrs.field(factory=dict)
 
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -2,7 +2,8 @@
 
 Each host lists itself on a topic of the store at its start. A host asks those
 before it in the shared order; if none has anything current, it reads the
-store itself.
+store itself. With its questions it tells what only it knows: its work at the
+backend servers and its counts in roll-outs.
 """
 
 from __future__ import annotations
@@ -25,9 +26,15 @@
     from hoistmoor.relay import state as state_lib
 
 PERIOD = 0.4  # Seconds between two questions.
-# Age of a configuration above which a copy is not current enough. A host that
-# reads the store itself stays below 1.1 s.
-OLDEST = 1.5
+# Age of a configuration above which a copy is not current enough, from a host
+# that reads the store itself; that stays below 0.7 s. Each host between adds
+# a PERIOD. A server that leaves while a source is cut off from the store is so
+# known within two seconds all the same.
+OLDEST = 1.0
+# Seconds until a host that begins to read the store reads the slow topics too:
+# most often another host is found before.
+SETTLED = 1.0
+SLOW_TOPICS = frozenset({"phases", "hosts"})
 LIST_RETRY = 0.5  # Seconds until a host tries again to list itself.
 _FOREVER = 1e9  # Seconds; JSON has no infinity.
 
@@ -85,19 +92,16 @@
         for evidence in asked.evidence:
             self._state.evidence.take(evidence)
         now = self._state.clock()
-        age = min(self._state.lease.age(now), _FOREVER)
-        return peer_codec.CopyAnswer(age, copies, self._work_for(asked, now))
-
-    def _work_for(
-        self, asked: peer_codec.CopyRequest, now: float
-    ) -> dict[str, float]:
-        """Takes the asking host's work; returns that of the others."""
+        age = min(now - self._followers["operator"].current_at, _FOREVER)
         outstanding = self._state.outstanding
-        outstanding.take(asked.host, asked.zone, asked.work, now)
+        outstanding.take(asked.host, asked.work, now)
         own = self._state.router.fleet.own_work()
-        if asked.zone == outstanding.zone:
-            return outstanding.all_others(own, now, asked.host)
-        return outstanding.near(own, now)
+        return peer_codec.CopyAnswer(
+            age,
+            self._state.depth,
+            copies,
+            outstanding.told_to(asked.host, own, now),
+        )
 
 
 class PeerReader:
@@ -123,6 +127,7 @@
         self._state = state
         self._gate = gate
         self._stale: set[str] = set()
+        self._direct_since = state.clock()
         self._sources = sources
         self._followers = followers
         self._client = client
@@ -135,19 +140,41 @@
             # also when all hosts start at once.
             has_all = self._followers.keys() <= self._state.topics_read
             found = await self._ask_any() if has_all else ""
-            if found != self._state.source:
-                self._state.source = found
-                self._state.believe("source", peer=found or "store")
+            self._note_source(found)
+            self._take_others_work()
             self._gate.longest_backoff = (
                 store_gate.LONGEST_BACKOFF
-                if self._sources.is_asked()
+                if self._sources.is_first()
                 else store_gate.RELAXED_BACKOFF
             )
-            for follower in self._followers.values():
-                if found:
-                    follower.direct.clear()
-                else:
-                    follower.direct.set()
+            self._switch(has_all)
+
+    def _note_source(self, found: str) -> None:
+        if found == self._state.source:
+            return
+        if not found:
+            self._direct_since = self._state.clock()
+            self._state.depth = 0
+        self._state.source = found
+        self._state.believe("source", peer=found or "store")
+
+    def _switch(self, has_all: bool) -> None:
+        """Has the followers read the store, or not."""
+        is_direct = not self._state.source
+        is_settled = (
+            not has_all or self._state.clock() - self._direct_since >= SETTLED
+        )
+        for name, follower in self._followers.items():
+            if is_direct and (is_settled or name not in SLOW_TOPICS):
+                follower.read_directly()
+            else:
+                follower.direct.clear()
+
+    def _take_others_work(self) -> None:
+        now = self._state.clock()
+        work = self._state.outstanding.of_others(now)
+        if work is not None:
+            self._state.router.fleet.take_others_work(work, now)
 
     async def _ask_any(self) -> str:
         """Returns the host that answered with something current, or empty."""
@@ -161,9 +188,10 @@
         asked = peer_codec.CopyRequest(
             {name: each.next_offset for name, each in self._followers.items()},
             self._sources.own,
-            self._sources.zone,
-            self._state.router.fleet.own_work(),
-            self._state.router.rollouts.counted(self._state.run_name),
+            self._state.outstanding.told_to_source(
+                self._state.router.fleet.own_work(), self._state.clock()
+            ),
+            self._state.known_evidence(),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -171,9 +199,11 @@
             self._sources.note_failed(host.name, self._state.clock())
             return False
         self._sources.note_answered(host.name)
-        if answer.age + self._state.clock() - sent_at > OLDEST:
+        oldest = OLDEST + answer.depth * PERIOD
+        if answer.age + self._state.clock() - sent_at > oldest:
             self._note_stale(host, answer.age)
             return False
+        self._state.depth = answer.depth + 1
         self._stale.discard(host.name)
         self._take(answer, sent_at)
         return True
@@ -189,7 +219,7 @@
         # The answer was made after the question was sent, and its age counts
         # from when it was made.
         current_at = sent_at - answer.age
-        self._state.router.fleet.take_others_work(answer.work, sent_at)
+        self._state.outstanding.take_rest(answer.work, sent_at)
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
             # A read of the store that is under way may have gone further.
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -109,9 +109,11 @@
     async def _tell(self, progress: rollouts.Progress) -> None:
         """Writes the counts known here, if the target has answered more."""
         order, state = progress.order, self._state
-        for evidence in state.router.rollouts.counted(state.run_name):
-            state.evidence.take(evidence)
-        near = state.evidence.of(order.service, order.number)
+        near = [
+            evidence
+            for evidence in state.known_evidence()
+            if evidence.service == order.service
+        ]
         answers = sum(each.target_answers for each in near)
         if self._told.get(order) == answers:
             return
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -34,6 +34,7 @@
         stopping: Whether new requests are refused.
         source: Name of the host that is asked for what the store says; empty
             while this host reads the store itself.
+        depth: Hosts between this one and the store.
     """
 
     clock: Callable[[], float]
@@ -51,12 +52,30 @@
     draining: bool = False
     stopping: bool = False
     source: str = ""
+    depth: int = 0
 
     def believe(self, kind: str, **fields: object) -> None:
         """Writes and counts a change of what this host believes."""
         self.log.write(kind, **fields)
         self.counters.beliefs.labels(kind).inc()
 
+    def known_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
+        """Returns the counts of this host and of those that ask it.
+
+        Only of the roll-outs under way.
+        """
+        rollouts = self.router.rollouts
+        for evidence in rollouts.counted(self.run_name):
+            self.evidence.take(evidence)
+        return tuple(
+            evidence
+            for progress in rollouts.progress.values()
+            if not progress.phase.is_final
+            for evidence in self.evidence.of(
+                progress.order.service, progress.order.number
+            )
+        )
+
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
         return (
--- a/tests/core/relay/test_relay_mirror.py
+++ b/tests/core/relay/test_relay_mirror.py
@@ -98,6 +98,36 @@
         assertions.assert_that(path[-1], matchers.Equals(readers[0]))
 
 
+def test_the_first_of_each_failure_domain_asks_that_of_another() -> None:
+    hosts = [
+        mirror.Host(f"{zone}{number}", zone, f"127.0.0.1:{number}")
+        for zone in "abcd"
+        for number in range(3)
+    ]
+    asked: dict[str, list[mirror.Host]] = {}
+    for host in hosts:
+        sources = mirror.Sources(host.name, host.zone)
+        for each in hosts:
+            sources.put(each)
+        asked[host.name] = sources.candidates(0.0)
+    readers = [name for name, found in asked.items() if not found]
+    assertions.assert_that(readers, matchers.HasLength(1))
+    steps = dict.fromkeys(readers, 0)
+    for _ in hosts:
+        for name, found in asked.items():
+            if name not in steps and found[0].name in steps:
+                steps[name] = steps[found[0].name] + 1
+    # Everybody reaches the reader, over no more than one host between.
+    assertions.assert_that(steps, matchers.HasLength(len(hosts)))
+    assertions.assert_that(max(steps.values()), matchers.Equals(2))
+    far = [
+        name
+        for name, found in asked.items()
+        if found and found[0].zone != name[0]
+    ]
+    assertions.assert_that(far, matchers.HasLength(3))
+
+
 def test_a_host_that_fails_rests_longer_each_time(
     all_sources: dict[str, mirror.Sources],
 ) -> None:
