Open a connection for each request that may run once only

What was on its way may have run, so it was not repeated. Ruled out: repeating them (not allowed); shorter idle times (a server may drop a connection at any moment). Change: such requests get a new connection; where that fails they certainly have not run and go to another server. Test: test_a_dropped_connection_leaves_no_doubt_about_what_runs_once (fails with kept connections).

--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import gc
 import os
 import time
@@ -83,7 +85,7 @@
         self,
         settings: settings_lib.RelaySettings,
         platform: ports.Platform,
-        session: aiohttp.ClientSession,
+        backends: relay_task.BackendSessions,
         peer_session: aiohttp.ClientSession,
         read_settings: Callable[[], settings_lib.RelaySettings],
     ) -> None:
@@ -92,7 +94,7 @@
         Args:
             settings: Its settings.
             platform: Where it learns what it must know.
-            session: Opens connections to backend servers.
+            backends: Open connections to backend servers.
             peer_session: Opens connections to other relays.
             read_settings: Reads the settings again.
         """
@@ -119,7 +121,7 @@
         self.front = front_lib.Front(
             self.state,
             admission.Admission(self.state, platform.headers, draws),
-            relay_task.Links(session, platform.headers, dialect),
+            relay_task.Links(backends, platform.headers, dialect),
         )
         self.settings_task = settings_task.SettingsTask(
             self.state, settings, read_settings, self.apply
@@ -311,23 +313,27 @@
         connect: Makes the platform on a session for calls to it.
     """
     stop = signals.stop_event()
-    async with sessions.make_session(
-        unanswered_timeout=UNANSWERED
-    ) as platform_session:
+    async with contextlib.AsyncExitStack() as stack:
+        platform_session = await stack.enter_async_context(
+            sessions.make_session(unanswered_timeout=UNANSWERED)
+        )
         platform = connect(platform_session)
-        async with sessions.make_session(
+        open_to_servers = functools.partial(
+            sessions.make_session,
             connect_timeout=relay_task.CONNECT_TIMEOUT,
             total_timeout=None,
             idle_timeout=IDLE_TO_SERVERS,
             attempt_header=platform.headers.request_id,
             unanswered_timeout=UNANSWERED,
-        ) as session:
-            relay = Relay(
-                read_settings(),
-                platform,
-                session,
-                platform_session,
-                read_settings,
-            )
-            signals.on_reload(relay.settings_task.changed.set)
-            await relay.serve(stop)
+        )
+        backends = relay_task.BackendSessions(
+            await stack.enter_async_context(open_to_servers()),
+            await stack.enter_async_context(
+                open_to_servers(reuse_connections=False)
+            ),
+        )
+        relay = Relay(
+            read_settings(), platform, backends, platform_session, read_settings
+        )
+        signals.on_reload(relay.settings_task.changed.set)
+        await relay.serve(stop)
--- a/src/hoistmoor/relay/relay_task.py
+++ b/src/hoistmoor/relay/relay_task.py
@@ -32,17 +32,38 @@
 CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
 
 
+@attrs.frozen
+class BackendSessions:
+    """Open connections to backend servers.
+
+    A server may drop a kept connection at any moment, and a request that was
+    on its way then may have run. So one that may run once only gets a new
+    connection: where that fails, it certainly has not run.
+
+    Attributes:
+        kept: Keeps its connections for the next requests.
+        fresh: Opens one for each request.
+    """
+
+    kept: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
+
+    def for_route(self, route: configuration.Route) -> aiohttp.ClientSession:
+        """Returns the session for a route's requests."""
+        return self.kept if route.may_run_again else self.fresh
+
+
 @attrs.frozen
 class Links:
     """How servers are reached.
 
     Attributes:
-        session: Opens connections to them.
+        sessions: Open connections to them.
         names: What headers are called.
         dialect: How servers name an attempt and decline it.
     """
 
-    session: aiohttp.ClientSession
+    sessions: BackendSessions
     names: header_names.HeaderNames
     dialect: dialect_lib.Dialect
 
@@ -151,7 +172,7 @@
             body=self._body,
         )
         exchange = exchange_lib.Exchange(
-            self._links.session,
+            self._links.sessions.for_route(self._request.route),
             request,
             exchange_lib.Timeouts(
                 total=max(0.0, send.deadline - now),
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -16,6 +16,7 @@
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
+from hoistmoor.relay import relay_task
 from hoistmoor.relay import settings as settings_lib
 
 if TYPE_CHECKING:
@@ -144,14 +145,23 @@
     )
     stop = asyncio.Event()
     async with contextlib.AsyncExitStack() as stack:
-        session = await stack.enter_async_context(
-            sessions.make_session(
-                total_timeout=None, attempt_header="X-Request-Id"
+        kept, fresh = [
+            await stack.enter_async_context(
+                sessions.make_session(
+                    total_timeout=None,
+                    attempt_header="X-Request-Id",
+                    reuse_connections=reuses,
+                )
             )
-        )
+            for reuses in (True, False)
+        ]
         caller = await stack.enter_async_context(aiohttp.ClientSession())
         relay = application.Relay(
-            settings, platform.as_port(), session, session, lambda: settings
+            settings,
+            platform.as_port(),
+            relay_task.BackendSessions(kept, fresh),
+            kept,
+            lambda: settings,
         )
         task = asyncio.create_task(relay.serve(stop))
         async with asyncio.timeout(PATIENCE):
--- a/tests/relay/test_relay_path.py
+++ b/tests/relay/test_relay_path.py
@@ -177,7 +177,10 @@
     assertions.assert_that(body, matchers.Not(matchers.Contains(b"fake")))
 
 
-async def test_surplus_bytes_reach_no_other_request(harness: Harness) -> None:
+@pytest.mark.parametrize("path", ["/confirm/", "/look/"])
+async def test_surplus_bytes_reach_no_other_request(
+    harness: Harness, path: str
+) -> None:
     async def twice(
         backend: Backend, request: bytes, writer: asyncio.StreamWriter
     ) -> None:
@@ -185,11 +188,30 @@
 
     await harness.add_backend("s1", twice)
     for _ in range(3):
-        async with harness.call("/confirm/") as reply:
+        async with harness.call(path) as reply:
             body = await reply.read()
         assertions.assert_that(body, matchers.Equals(b"done"))
 
 
+async def test_a_dropped_connection_leaves_no_doubt_about_what_runs_once(
+    harness: Harness,
+) -> None:
+    async def drop_after_an_answer(
+        backend: Backend, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        used = getattr(writer, "used", False)
+        if used:  # Whatever is sent next on a kept connection is reset.
+            reset_connection(writer)
+            return
+        writer.used = True  # type: ignore[attr-defined]
+        writer.write(BODY)
+
+    await harness.add_backend("s1", drop_after_an_answer)
+    for _ in range(3):
+        async with harness.call("/confirm/") as reply:
+            assertions.assert_that(reply.status, matchers.Equals(200))
+
+
 async def test_a_cut_stream_goes_on_at_another_server(
     harness: Harness,
 ) -> None:
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -20,6 +20,7 @@
 from hoistmoor.relay import application
 from hoistmoor.relay import peer_client
 from hoistmoor.relay import peers
+from hoistmoor.relay import relay_task
 from hoistmoor.relay import rollout_codec
 from hoistmoor.relay import settings as settings_lib
 
@@ -109,7 +110,7 @@
     relay = application.Relay(
         settings,
         attrs.evolve(port, topics=topics),
-        session,
+        relay_task.BackendSessions(session, session),
         session,
         lambda: settings,
     )
--- a/tests/relay/test_relay_store_gate.py
+++ b/tests/relay/test_relay_store_gate.py
@@ -15,6 +15,7 @@
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
+from hoistmoor.relay import relay_task
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay import store_gate
 
@@ -85,7 +86,11 @@
     )
     async with sessions.make_session() as session:
         relay = application.Relay(
-            settings, platform.as_port(), session, session, lambda: settings
+            settings,
+            platform.as_port(),
+            relay_task.BackendSessions(session, session),
+            session,
+            lambda: settings,
         )
         task = asyncio.create_task(relay.serve(asyncio.Event()))
         await until(lambda: len(relay.state.topics_read) == 4)
