Wait for one topic at a start, too

Ruled out: a start from other hosts, as a host that has read nothing knows none. Change: the gate is shut at a start until one topic is read. Test: test_only_one_topic_is_tried_at_a_start_while_the_store_is_away.

--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -210,7 +210,7 @@
             return
         own = mirror.Host(settings.host, settings.zone, settings.peer_listen)
         self._loops["listing"] = peers.SelfListing(
-            self.state, platform.topics.hosts, own
+            self.state, platform.topics.hosts, own, self._gate
         ).run
         client = peer_client.PeerClient(self.state, peer_session)
         reader = peers.PeerReader(
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -10,11 +10,11 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay import mirror as mirror_lib
 from hoistmoor.core.relay import topics
+from hoistmoor.relay import store_gate
 
 if TYPE_CHECKING:
     from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
-    from hoistmoor.relay import store_gate
 
 
 @attrs.frozen
@@ -104,6 +104,8 @@
 
     async def run(self) -> None:
         """Reads until cancelled."""
+        if not self._is_probe:
+            await self._gate.wait_until_heard()
         await asyncio.sleep(self._delay)
         while True:
             await self.direct.wait()
@@ -137,6 +139,7 @@
         if self._is_probe:
             await self._gate.back_off()
         else:
+            await asyncio.sleep(store_gate.FIRST_BACKOFF)
             await self._gate.wait_until_heard()
 
     async def read_once(self) -> None:
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -250,8 +250,18 @@
         state: state_lib.RelayState,
         topic: ports.KeyedTopic,
         host: mirror.Host,
+        gate: store_gate.StoreGate,
     ) -> None:
+        """Makes the task.
+
+        Args:
+            state: What the relay knows.
+            topic: Where hosts list themselves.
+            host: This host's entry.
+            gate: Holds calls back while the store is away.
+        """
         self._state = state
+        self._gate = gate
         self._topic = topic
         self._host = host
 
@@ -259,6 +269,7 @@
         """Returns once the host is listed."""
         entry = peer_codec.encode(self._host)
         while True:
+            await self._gate.wait_until_heard()
             try:
                 await self._topic.put(self._host.name, entry)
             except errors.HoistmoorError as error:
--- a/src/hoistmoor/relay/store_gate.py
+++ b/src/hoistmoor/relay/store_gate.py
@@ -16,7 +16,8 @@
 class StoreGate:
     """Shared by all that read the store.
 
-    One topic is tried again and again; the others wait until it is heard.
+    One topic is tried again and again, from the start on; other calls wait
+    until it is heard.
 
     Attributes:
         longest_backoff: Seconds between two tries of that topic, at most.
@@ -25,7 +26,6 @@
     def __init__(self) -> None:
         self.longest_backoff = LONGEST_BACKOFF
         self._heard = asyncio.Event()
-        self._heard.set()
         self._backoff = FIRST_BACKOFF
 
     def note_heard(self) -> None:
@@ -44,10 +44,9 @@
         await asyncio.sleep(wait)
 
     async def wait_until_heard(self) -> None:
-        """Waits until another topic should be read again."""
-        await asyncio.sleep(FIRST_BACKOFF)
+        """Waits until other calls than that one should be made."""
         try:
             async with asyncio.timeout(LONGEST_HOLD):
                 await self._heard.wait()
         except TimeoutError:
-            return  # Only this topic may be there: it has to be tried.
+            return  # Only that topic may be away: this one has to be tried.
--- a/tests/relay/test_relay_store_gate.py
+++ b/tests/relay/test_relay_store_gate.py
@@ -20,7 +20,7 @@
 from hoistmoor.relay import store_gate
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     import pytest
 
@@ -46,13 +46,14 @@
 
 async def test_the_others_wait_while_one_topic_is_tried() -> None:
     gate = store_gate.StoreGate()
-    gate.note_lost()
-    waiting = asyncio.create_task(gate.wait_until_heard())
-    await asyncio.sleep(2 * store_gate.FIRST_BACKOFF)
-    assertions.assert_that(waiting.done(), matchers.Is(False))
-    gate.note_heard()
-    async with asyncio.timeout(PATIENCE):
-        await waiting
+    for _ in range(2):  # At a start, and when the store is lost again.
+        waiting = asyncio.create_task(gate.wait_until_heard())
+        await asyncio.sleep(0.1)
+        assertions.assert_that(waiting.done(), matchers.Is(False))
+        gate.note_heard()
+        async with asyncio.timeout(PATIENCE):
+            await waiting
+        gate.note_lost()
 
 
 async def test_a_topic_is_tried_at_last_where_the_others_stay_away(
@@ -65,14 +66,29 @@
         await gate.wait_until_heard()
 
 
-async def test_only_one_topic_is_tried_while_the_store_is_away(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+@attrs.define
+class Started:
+    """A relay that runs, and its topics; the operators' is the first."""
+
+    relay: application.Relay
+    platform: relay_platform.MemoryPlatform
+    topics: list[CountingTopic]
+
+    def set_away(self, *, is_away: bool) -> None:
+        """Has the whole store be away, or back."""
+        for topic in self.topics:
+            topic.is_away = is_away
+
+
+@contextlib.asynccontextmanager
+async def started(
+    monkeypatch: pytest.MonkeyPatch, *, is_away: bool
+) -> AsyncIterator[Started]:
+    """Starts a relay beside a store that is away, or not."""
     nowhere = os.open(os.devnull, os.O_WRONLY)
     monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
-    monkeypatch.setattr(application, "SLOW_WAIT", 0.05)
-    monkeypatch.setattr(application, "SERVERS_WAIT", 0.05)
-    monkeypatch.setattr(application, "OPERATOR_WAIT", 0.05)
+    for name in ("SLOW_WAIT", "SERVERS_WAIT", "OPERATOR_WAIT"):
+        monkeypatch.setattr(application, name, 0.05)
     topics = [CountingTopic() for _ in range(4)]
     platform = relay_platform.MemoryPlatform(
         operator=topics[0],
@@ -92,10 +108,23 @@
             session,
             lambda: settings,
         )
+        made = Started(relay, platform, topics)
+        made.set_away(is_away=is_away)
         task = asyncio.create_task(relay.serve(asyncio.Event()))
-        await until(lambda: len(relay.state.topics_read) == 4)
-        for topic in topics:
-            topic.is_away = True
+        yield made
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    os.close(nowhere)
+
+
+async def test_only_one_topic_is_tried_while_the_store_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with started(monkeypatch, is_away=False) as made:
+        topics, state = made.topics, made.relay.state
+        await until(lambda: len(state.topics_read) == 4)
+        made.set_away(is_away=True)
         await asyncio.sleep(0.3)  # What was under way ends.
         before = [topic.calls for topic in topics]
         await until(lambda: topics[0].calls >= before[0] + 3)
@@ -104,14 +133,23 @@
             for topic, known in zip(topics[1:], before[1:], strict=True)
         ]
         assertions.assert_that(max(tried), matchers.LessThan(3))
-        for topic in topics:
-            topic.is_away = False
+        made.set_away(is_away=False)
         newer = relay_parts.in_force(2)
+        platform = made.platform
         await platform.publish(platform.operator, "config", newer)
         await platform.publish(platform.servers, "a", relay_parts.entry("a"))
-        await until(lambda: relay.state.configuration is newer)
-        await until(lambda: "a" in relay.state.router.fleet.servers)
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-    os.close(nowhere)
+        await until(lambda: state.configuration is newer)
+        await until(lambda: "a" in state.router.fleet.servers)
+
+
+async def test_only_one_topic_is_tried_at_a_start_while_the_store_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with started(monkeypatch, is_away=True) as made:
+        topics = made.topics
+        # The first call was the fixture's own.
+        await until(lambda: topics[0].calls >= 4)
+        tried = [topic.calls for topic in topics[1:]]
+        assertions.assert_that(tried, matchers.Equals([0, 0, 0]))
+        made.set_away(is_away=False)
+        await until(lambda: len(made.relay.state.topics_read) == 4)
