--- /dev/null
+++ b/tests/relay/test_relay_tree_stateful.py
@@ -0,0 +1,247 @@
+"""Copies along the tree of hosts, under random interleavings.
+
+Three hosts pass the operators' topic on: one reads the store, the next asks
+it, the last asks that one; at times any of them reads the store. Reads and
+answers take any time on their way, a host may pause before it takes what has
+come, and hosts start again. At each step the lease of each host must tell the
+truth, and no host may go back.
+"""
+
+from __future__ import annotations
+
+import os
+
+import attrs
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+import relay_parts
+import relay_platform
+
+from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import mirror
+from hoistmoor.core.relay import outstanding
+from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay import topics
+from hoistmoor.core.routing import hashing
+from hoistmoor.relay import counters
+from hoistmoor.relay import event_log
+from hoistmoor.relay import follower
+from hoistmoor.relay import listeners
+from hoistmoor.relay import peer_client
+from hoistmoor.relay import peer_codec
+from hoistmoor.relay import peers
+from hoistmoor.relay import state as state_lib
+from hoistmoor.relay import store_gate
+
+HOSTS = (0, 1, 2)  # Each asks the one before it; the first reads the store.
+FOREVER = 1e6
+LOG = event_log.EventLog("h", lambda: 0.0, os.open(os.devnull, os.O_WRONLY))
+
+
+@attrs.define
+class Published:
+    """A revision, and when the store took it."""
+
+    revision: int
+    at: float
+
+
+@attrs.define
+class OnItsWay:
+    """A read of the store, or an answer of a host, that has not been taken.
+
+    Attributes:
+        run: The run of the host that waits for it.
+        sent_at: When the question was sent.
+        batch: What the store answered; None for a host's answer.
+        answer: What a host answered, as bytes; empty for the store's.
+    """
+
+    run: Host
+    sent_at: float
+    batch: topics.Batch | None = None
+    answer: bytes = b""
+
+
+class Host:
+    """One run of one host."""
+
+    def __init__(self, clock: Clock, codec: relay_platform.NamedCodec) -> None:
+        self.state = state_lib.RelayState(
+            clock=clock,
+            log=LOG,
+            counters=counters.Counters(),
+            router=router_lib.Router(
+                "z", router_lib.Bounds(), hashing.Draws.seeded(1)
+            ),
+            lease=freshness.ConfigurationLease(5.0),
+            outstanding=outstanding.OutstandingWork(),
+            run_name="h-1",
+        )
+        gate = store_gate.StoreGate()
+        self.operator = follower.TopicFollower(
+            self.state,
+            "operator",
+            relay_platform.MemoryTopic(),
+            listeners.OperatorListener(self.state, codec),
+            wait=0.0,
+            pause=0.0,
+            gate=gate,
+        )
+        followers = {"operator": self.operator}
+        self.answers = peers.PeerAnswers(self.state, followers)
+        self.reader = peers.PeerReader(
+            self.state,
+            mirror.Sources("h", "z"),
+            followers,
+            peer_client.PeerClient(self.state, None),  # type: ignore[arg-type]
+            gate,
+        )
+        self.newest_seen = 0
+
+
+@attrs.define
+class Clock:
+    """Steady time, moved by the test."""
+
+    now: float = 100.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now
+
+
+class Tree(stateful.RuleBasedStateMachine):
+    """Three hosts, the store, and what is on its way between them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = Clock()
+        self.codec = relay_platform.NamedCodec()
+        self.records: list[topics.Record] = []
+        self.published: list[Published] = []
+        self.hosts = {number: self.start() for number in HOSTS}
+        self.on_their_way: list[OnItsWay] = []
+        self.publish()
+        for number in HOSTS:
+            self.store_answers(number)
+            self.arrive(self.on_their_way.pop())
+
+    def start(self) -> Host:
+        """Returns a run of a host that has read nothing."""
+        return Host(self.clock, self.codec)
+
+    @stateful.rule(seconds=st.floats(0.01, 3.0))
+    def time_passes(self, seconds: float) -> None:
+        """Nothing happens for a while."""
+        self.clock.now += seconds
+
+    @stateful.rule()
+    def publish(self) -> None:
+        """The store takes the next revision."""
+        revision = len(self.published) + 1
+        name = f"r{revision}".encode()
+        self.codec.known[name] = relay_parts.in_force(revision)
+        offset = len(self.records)
+        self.records.append(topics.Record("config", name, offset))
+        self.published.append(Published(revision, self.clock.now))
+
+    @stateful.rule(number=st.sampled_from(HOSTS))
+    def store_answers(self, number: int) -> None:
+        """A read is sent and answered at once; it arrives when it likes."""
+        host = self.hosts[number]
+        offset = host.operator.next_offset
+        end = len(self.records)
+        batch = topics.Batch(
+            tuple(self.records[offset or 0 :]), end, offset is None
+        )
+        self.on_their_way.append(OnItsWay(host, self.clock.now, batch))
+
+    @stateful.rule(number=st.sampled_from(HOSTS[1:]), age=st.floats(0.0, 2.0))
+    def host_answers(self, number: int, age: float) -> None:
+        """A question that was sent a while ago is answered."""
+        host, source = self.hosts[number], self.hosts[number - 1]
+        asked = peer_codec.CopyRequest({"operator": host.operator.next_offset})
+        answer = peer_codec.encode(source.answers.answer(asked))
+        sent_at = self.clock.now - age
+        self.on_their_way.append(OnItsWay(host, sent_at, answer=answer))
+
+    @stateful.precondition(lambda self: self.on_their_way)
+    @stateful.rule(data=st.data())
+    def arrives(self, data: st.DataObject) -> None:
+        """Anything that is on its way is taken."""
+        place = data.draw(st.integers(0, len(self.on_their_way) - 1))
+        self.arrive(self.on_their_way.pop(place))
+
+    def arrive(self, found: OnItsWay) -> None:
+        """Has its host take what was on its way."""
+        if found.run not in self.hosts.values():
+            return  # That run of the host has ended.
+        if found.batch is None:
+            answer = peer_codec.decode_answer(found.answer)
+            found.run.reader._take(answer, found.sent_at)
+        elif not found.run.operator.is_ahead_of(found.batch):
+            update = follower.Update(found.batch, found.sent_at, FOREVER)
+            found.run.operator.take(update)
+
+    @stateful.rule(number=st.sampled_from(HOSTS))
+    def starts_again(self, number: int) -> None:
+        """A run of a host ends, and the next begins."""
+        self.hosts[number] = self.start()
+
+    @stateful.invariant()
+    def leases_tell_the_truth(self) -> None:
+        """What was in force when a lease was proved is known."""
+        for host in self.hosts.values():
+            proved_at = host.state.lease.proved_at
+            if proved_at is None:
+                continue
+            due = [
+                each.revision for each in self.published if each.at < proved_at
+            ]
+            assert host.state.configuration is not None
+            known = host.state.configuration.revision
+            assert known >= max(due, default=0), (known, due, proved_at)
+
+    @stateful.invariant()
+    def no_host_goes_back(self) -> None:
+        """A run of a host never uses an older revision again."""
+        for host in self.hosts.values():
+            found = host.state.configuration
+            revision = found.revision if found else 0
+            assert revision >= host.newest_seen
+            host.newest_seen = revision
+
+
+PLAYED = settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_leases_along_the_tree_tell_the_truth() -> None:
+    stateful.run_state_machine_as_test(Tree, settings=PLAYED)
+
+
+def test_an_age_that_counts_from_the_arrival_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    take = peers.PeerReader._take
+
+    def take_as_of_now(
+        self: peers.PeerReader, answer: peer_codec.CopyAnswer, _: float
+    ) -> None:
+        take(self, answer, self._state.clock())
+
+    monkeypatch.setattr(peers.PeerReader, "_take", take_as_of_now)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Tree, settings=PLAYED)
+
+
+def test_a_source_that_forgets_the_age_of_its_copy_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(follower.TopicFollower, "age", lambda self: 0.0)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Tree, settings=PLAYED)
