--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -11,17 +11,13 @@
 import pytest
 import relay_parts
 import relay_platform
+import relay_states
 from testtools import assertions
 from testtools import matchers
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import freshness
-from hoistmoor.core.relay import outstanding
-from hoistmoor.core.relay import router as router_lib
 from hoistmoor.core.relay import topics
-from hoistmoor.core.routing import hashing
-from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
 from hoistmoor.relay import follower
 from hoistmoor.relay import lease_watch
@@ -33,23 +29,12 @@
     from collections.abc import Iterator
 
 
-@attrs.define
-class Clock:
-    """Steady time that stands still until it is moved."""
-
-    now: float = 100.0
-
-    def __call__(self) -> float:
-        """Returns the time."""
-        return self.now
-
-
 @attrs.define
 class Rig:
     """A state, the clock it goes by, and its log lines."""
 
     state: state_lib.RelayState
-    clock: Clock
+    clock: relay_states.Clock
     lines: int
 
     def events(self) -> list[dict[str, object]]:
@@ -64,18 +49,8 @@
     """A state of a host that has read nothing."""
     reading, writing = os.pipe()
     os.set_blocking(reading, False)
-    clock = Clock()
-    state = state_lib.RelayState(
-        clock=clock,
-        log=event_log.EventLog("h1", clock, writing),
-        counters=counters.Counters(),
-        router=router_lib.Router(
-            "north", router_lib.Bounds(), hashing.Draws.seeded(1)
-        ),
-        lease=freshness.ConfigurationLease(5.0),
-        outstanding=outstanding.OutstandingWork(),
-        run_name="h1-1",
-    )
+    clock = relay_states.Clock()
+    state = relay_states.fresh(clock, writing)
     yield Rig(state, clock, reading)
     os.close(reading)
     os.close(writing)
@@ -235,7 +210,7 @@
 class HeldTopic(relay_platform.MemoryTopic):
     """A topic that holds reads back on the clock of the test."""
 
-    clock: Clock = attrs.field(factory=Clock)
+    clock: relay_states.Clock = attrs.field(factory=relay_states.Clock)
     held: float = 0.0
     waits: list[float] = attrs.field(factory=list)
 
@@ -248,6 +223,22 @@
         return topics.Batch(found, offset + len(found))
 
 
+def operator_reader(
+    rig: Rig, platform: relay_platform.MemoryPlatform, topic: HeldTopic
+) -> follower.TopicFollower:
+    """Returns what reads the operators' topic, held back for a second."""
+    return follower.TopicFollower(
+        rig.state,
+        "operator",
+        topic,
+        listeners.OperatorListener(rig.state, platform.codec),
+        wait=1.0,
+        pause=0.0,
+        gate=store_gate.StoreGate(),
+        is_probe=True,
+    )
+
+
 @pytest.mark.parametrize(
     ("held", "adds", "proved_at"),
     [
@@ -269,16 +260,7 @@
     topic = HeldTopic(clock=rig.clock, held=held)
     platform.operator = topic
     await platform.publish(topic, "config", relay_parts.in_force(1))
-    reader = follower.TopicFollower(
-        rig.state,
-        "operator",
-        topic,
-        listeners.OperatorListener(rig.state, platform.codec),
-        wait=1.0,
-        pause=0.0,
-        gate=store_gate.StoreGate(),
-        is_probe=True,
-    )
+    reader = operator_reader(rig, platform, topic)
     await reader.read_once()
     if adds:
         await platform.publish(topic, "config", relay_parts.in_force(2))
@@ -320,16 +302,7 @@
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
     topic = HeldTopic(clock=rig.clock)
-    reader = follower.TopicFollower(
-        rig.state,
-        "operator",
-        topic,
-        listeners.OperatorListener(rig.state, platform.codec),
-        wait=1.0,
-        pause=0.0,
-        gate=store_gate.StoreGate(),
-        is_probe=True,
-    )
+    reader = operator_reader(rig, platform, topic)
     await reader.read_once()
     await platform.publish(topic, "config", relay_parts.in_force(2))
     for _ in range(3):
--- a/tests/relay/test_relay_tree_stateful.py
+++ b/tests/relay/test_relay_tree_stateful.py
@@ -18,26 +18,20 @@
 import pytest
 import relay_parts
 import relay_platform
+import relay_states
 
-from hoistmoor.core.relay import freshness
 from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import outstanding
-from hoistmoor.core.relay import router as router_lib
 from hoistmoor.core.relay import topics
-from hoistmoor.core.routing import hashing
-from hoistmoor.relay import counters
-from hoistmoor.relay import event_log
 from hoistmoor.relay import follower
 from hoistmoor.relay import listeners
 from hoistmoor.relay import peer_client
 from hoistmoor.relay import peer_codec
 from hoistmoor.relay import peers
-from hoistmoor.relay import state as state_lib
 from hoistmoor.relay import store_gate
 
 HOSTS = (0, 1, 2)  # Each asks the one before it; the first reads the store.
 FOREVER = 1e6
-LOG = event_log.EventLog("h", lambda: 0.0, os.open(os.devnull, os.O_WRONLY))
+NOWHERE = os.open(os.devnull, os.O_WRONLY)
 
 
 @attrs.define
@@ -68,18 +62,10 @@
 class Host:
     """One run of one host."""
 
-    def __init__(self, clock: Clock, codec: relay_platform.NamedCodec) -> None:
-        self.state = state_lib.RelayState(
-            clock=clock,
-            log=LOG,
-            counters=counters.Counters(),
-            router=router_lib.Router(
-                "z", router_lib.Bounds(), hashing.Draws.seeded(1)
-            ),
-            lease=freshness.ConfigurationLease(5.0),
-            outstanding=outstanding.OutstandingWork(),
-            run_name="h-1",
-        )
+    def __init__(
+        self, clock: relay_states.Clock, codec: relay_platform.NamedCodec
+    ) -> None:
+        self.state = relay_states.fresh(clock, NOWHERE)
         gate = store_gate.StoreGate()
         self.operator = follower.TopicFollower(
             self.state,
@@ -102,23 +88,12 @@
         self.newest_seen = 0
 
 
-@attrs.define
-class Clock:
-    """Steady time, moved by the test."""
-
-    now: float = 100.0
-
-    def __call__(self) -> float:
-        """Returns the time."""
-        return self.now
-
-
 class Tree(stateful.RuleBasedStateMachine):
     """Three hosts, the store, and what is on its way between them."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.clock = Clock()
+        self.clock = relay_states.Clock()
         self.codec = relay_platform.NamedCodec()
         self.records: list[topics.Record] = []
         self.published: list[Published] = []
--- /dev/null
+++ b/tests/relay_states.py
@@ -0,0 +1,44 @@
+"""What a relay knows at its start, for tests without sockets."""
+
+from __future__ import annotations
+
+import attrs
+
+from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay import outstanding
+from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.routing import hashing
+from hoistmoor.relay import counters
+from hoistmoor.relay import event_log
+from hoistmoor.relay import state as state_lib
+
+
+@attrs.define
+class Clock:
+    """Steady time that stands still until it is moved."""
+
+    now: float = 100.0
+
+    def __call__(self) -> float:
+        """Returns the time."""
+        return self.now
+
+
+def fresh(clock: Clock, log_descriptor: int) -> state_lib.RelayState:
+    """Returns the state of a host that has read nothing.
+
+    Args:
+        clock: Its clock.
+        log_descriptor: Where its lines go.
+    """
+    return state_lib.RelayState(
+        clock=clock,
+        log=event_log.EventLog("h1", clock, log_descriptor),
+        counters=counters.Counters(),
+        router=router_lib.Router(
+            "north", router_lib.Bounds(), hashing.Draws.seeded(1)
+        ),
+        lease=freshness.ConfigurationLease(5.0),
+        outstanding=outstanding.OutstandingWork(),
+        run_name="h1-1",
+    )
