Serve through an outage of the store where revocation is not strict

Cause: the lease ended 4.5 s after the store was last heard, whatever the operators' settings say of revocation. In an outage of 8 s nearly every request was refused with table_stale while engines were idle. Ruled out: refusals by the engines (none in those windows), hosts without servers (entries stay). Change: the setting for strict revocation is read; where it is off the lease has no end, while unknown keys and routes are still refused with 503.

--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -52,6 +52,7 @@
         metrics_listen=f"{fields['ip']}:{first_port}",
         peer_listen=f"{fields['ip']}:{first_port + 1}",
         revocation=bounds["revoke_ms"] / _MS,
+        is_revocation_strict=bounds.get("strict_revocation", True),
         stop_timeout=bounds["grace_s"],
         repeat_ratio=bounds["retry_budget_ratio"],
         repeat_window=bounds["retry_window_s"],
--- a/src/hoistmoor/relay/admission.py
+++ b/src/hoistmoor/relay/admission.py
@@ -81,20 +81,24 @@
         request_id: str,
     ) -> requests.RelayRequest | refusals.Refusal:
         route = found.find_route(head.host, head.path)
-        is_current = self._state.lease.holds(self._state.clock())
+        now = self._state.clock()
+        lease = self._state.lease
         if route is None:
             # A newer configuration may have the route.
-            if not is_current:
+            if not lease.is_current(now):
                 return self._stale()
             return _refuse(
                 refusals.Reason.UNKNOWN_CALL, "no route has this host and path"
             )
         account = ""
         if found.accounts and not route.anonymous:
-            if not is_current:
+            if not lease.holds(now):
                 return self._stale()
             holder = found.find_account(self._key_of(head))
             if holder is None:
+                # A newer configuration may have the key.
+                if not lease.is_current(now):
+                    return self._stale()
                 return _refuse(
                     refusals.Reason.WRONG_KEY, "the key belongs to no account"
                 )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -108,7 +108,9 @@
             log=event_log.EventLog(settings.host, clock, LOG_DESCRIPTOR),
             counters=counters.Counters(),
             router=router_lib.Router(settings.zone, _bounds(settings), draws),
-            lease=freshness.ConfigurationLease(settings.revocation),
+            lease=freshness.ConfigurationLease(
+                settings.revocation, settings.is_revocation_strict
+            ),
             outstanding=outstanding.OutstandingWork(),
             run_name=f"{settings.host}-{seed:016x}",
         )
@@ -133,6 +135,7 @@
         """Puts changed settings in force; addresses stay until a restart."""
         self.settings = settings
         self.state.lease.bound = settings.revocation
+        self.state.lease.is_strict = settings.is_revocation_strict
         self.state.router.take_bounds(_bounds(settings))
 
     def _make_followers(self, platform: ports.Platform) -> None:
--- a/src/hoistmoor/relay/counters.py
+++ b/src/hoistmoor/relay/counters.py
@@ -16,6 +16,7 @@
         attempts: Attempts by how their exchange ended.
         beliefs: Changes of what this host believes, by kind.
         durations: Seconds from a request to its final answer.
+        configuration_age: Seconds since the configuration was known current.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,12 @@
             registry=self.registry,
         )
 
+        self.configuration_age = prometheus_client.Gauge(
+            "hoistmoor_relay_configuration_age_seconds",
+            "Seconds since the configuration was known to be current.",
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Returns all of them in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -18,6 +18,8 @@
         peer_listen: ``ip:port`` for the other relays; empty to ask none and
             be asked by none.
         revocation: Seconds within which a key taken away must be refused.
+        is_revocation_strict: Whether that holds while the store is away, at
+            the price of refusing all requests with a key.
         stop_timeout: Seconds from a stop signal to the end by force.
         repeat_ratio: Repeats allowed for each request to a service.
         repeat_window: Seconds over which both are counted.
@@ -32,6 +34,7 @@
     metrics_listen: str = ""
     peer_listen: str = ""
     revocation: float = 5.0
+    is_revocation_strict: bool = True
     stop_timeout: float = 8.0
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
--- a/tests/core/relay/test_relay_configuration.py
+++ b/tests/core/relay/test_relay_configuration.py
@@ -56,6 +56,15 @@
     assertions.assert_that(lease.holds(now), matchers.Is(holds))
 
 
+def test_a_lease_that_is_not_strict_outlives_an_outage() -> None:
+    lease = freshness.ConfigurationLease(5.0, is_strict=False)
+    assertions.assert_that(lease.holds(0.0), matchers.Is(False))
+    lease.prove(10.0)
+    assertions.assert_that(lease.holds(3600.0), matchers.Is(True))
+    assertions.assert_that(lease.is_current(14.4), matchers.Is(True))
+    assertions.assert_that(lease.is_current(14.6), matchers.Is(False))
+
+
 def test_repeats_are_earned_by_requests_and_by_nothing_else() -> None:
     earned = budget.RepeatBudget(ratio=0.5, window=10.0, spare=1.0)
     allowed = 0
--- a/tests/relay/test_relay_path.py
+++ b/tests/relay/test_relay_path.py
@@ -369,6 +369,31 @@
         assertions.assert_that(reply.status, matchers.Equals(200))
 
 
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/look/", "key1", 200),
+        # A newer configuration may have the key or the route.
+        ("/look/", "wrong", 503),
+        ("/nowhere/", "key1", 503),
+    ],
+)
+async def test_an_outage_of_the_store_does_not_stop_service(
+    harness: Harness, path: str, key: str, status: int
+) -> None:
+    await harness.add_backend("s1", answer_done)
+    harness.platform.operator.is_away = True
+    lease = harness.state.lease
+    lease.is_strict = False
+    lease.bound = 0.0  # Whatever is known is too old to be sure of.
+    async with harness.call(
+        path, headers={"Authorization": f"Bearer {key}"}
+    ) as reply:
+        assertions.assert_that(reply.status, matchers.Equals(status))
+    async with harness.caller.get(harness.ready) as reply:
+        assertions.assert_that(reply.status, matchers.Equals(200))
+
+
 async def test_a_revision_never_goes_back(harness: Harness) -> None:
     platform = harness.platform
     newer = relay_parts.in_force(5, (relay_parts.ROUTE,))
