Judge a new version by all routes together, and tell other hosts of a doubt

A version half of whose answers take eight times as long was accepted: dropped and silent attempts were no evidence, and a usual duration was believed after ten answers only. Ruled out: the lag of the store (the verdict was taken on these counts). Change: each route and the sum of all are judged by a likelihood ratio; a doubtful version does not spread; dropped answers and long silences count; a doubt goes from host to host and stops new work before a record is written, and is not forgotten.

--- a/src/hoistmoor/core/relay/evidence.py
+++ b/src/hoistmoor/core/relay/evidence.py
@@ -2,13 +2,31 @@
 
 from __future__ import annotations
 
+import math
+from typing import TYPE_CHECKING
+
 import attrs
 
-MIN_ANSWERS = 8  # Answers of one route before its share of failures counts.
-MIN_BAD = 5  # Bad answers before a version is judged.
-FAILURE_FACTOR = 2.0  # Times the old version's failures, and
-FAILURE_SLACK = 0.1  # this share more, make a version bad.
-SLOW_SHARE = 0.35  # Share of slow answers, above the old one's, that is bad.
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Answers of the target before they are judged: fewer may all come from one
+# server that fails.
+MIN_ANSWERS = 8
+# Natural logarithm of the likelihood ratio at which a version is bad: a good
+# one is taken for bad in one look of 400. Four failures of eight answers reach
+# it, where the others fail one time in thirty.
+CERTAIN = 6.0
+DOUBT = 2.0  # The same at which a version must prove more: one look in seven.
+SHARE_FACTOR = 2.0  # Times the old version's share of bad answers, and
+SHARE_SLACK = 0.1  # this share more, are allowed whatever the proof: one
+# server of six that fails half of its requests does not make a version bad.
+# Before the old version was seen, one answer in twenty is taken to be bad,
+# with the weight of so many answers.
+PRIOR_SHARE = 0.05
+PRIOR_ANSWERS = 6
+LEAST_USUAL = 0.03  # Share below which no old version is believed to be.
+MOST_USUAL = 0.99
 
 
 @attrs.define
@@ -16,9 +34,10 @@
     """Answers of one version on one route.
 
     Attributes:
-        answers: Whole answers.
+        answers: Whole answers, those that were dropped for a larger model's,
+            and requests that were given up after a long silence.
         failures: Those that said that the server failed.
-        slow: Those that took several times the usual time.
+        slow: Those that took several times the usual time, or never began.
     """
 
     answers: int = 0
@@ -31,10 +50,6 @@
         self.failures += other.failures
         self.slow += other.slow
 
-    def share(self, count: int) -> float:
-        """Returns ``count`` as a share of all answers."""
-        return count / self.answers if self.answers else 0.0
-
 
 @attrs.frozen
 class RouteEvidence:
@@ -116,17 +131,82 @@
     return pooled
 
 
-def is_bad(route: RouteEvidence) -> bool:
-    """Returns whether the target does worse on a route than the others."""
+def by_order(
+    all_evidence: tuple[Evidence, ...],
+) -> dict[int, list[Evidence]]:
+    """Returns the counts of several hosts by the number of the order."""
+    grouped: dict[int, list[Evidence]] = {}
+    for evidence in all_evidence:
+        grouped.setdefault(evidence.number, []).append(evidence)
+    return grouped
+
+
+def text_of(pooled: Mapping[str, RouteEvidence]) -> str:
+    """Returns counts for a log line: answers/failures/slow, target first."""
+    texts = []
+    for name, route in sorted(pooled.items()):
+        target, others = route.target, route.others
+        texts.append(
+            f"{name}={target.answers}/{target.failures}/{target.slow}"
+            f" of {others.answers}/{others.failures}/{others.slow}"
+        )
+    return "; ".join(texts)
+
+
+def is_bad(routes: Mapping[str, RouteEvidence]) -> bool:
+    """Returns whether the target does worse than the versions before it.
+
+    A version may be bad on one route only, and a trial's answers are few, so
+    each route is judged by itself and all of them together: nine failures of
+    22 answers on three routes stop a trial, though no route has enough alone.
+
+    Args:
+        routes: Counts by the route's name.
+    """
+    return _stands_out(routes, CERTAIN)
+
+
+def is_doubtful(routes: Mapping[str, RouteEvidence]) -> bool:
+    """Returns whether the target should prove more before it gets all work."""
+    return _stands_out(routes, DOUBT)
+
+
+def _stands_out(routes: Mapping[str, RouteEvidence], proof: float) -> bool:
+    total = RouteEvidence()
+    for route in routes.values():
+        total.target.add(route.target)
+        total.others.add(route.others)
+    return any(_is_worse(route, proof) for route in (total, *routes.values()))
+
+
+def _is_worse(route: RouteEvidence, proof: float) -> bool:
     target, others = route.target, route.others
-    if target.answers < MIN_ANSWERS:
+    return _is_more(
+        target.failures, target.answers, others.failures, others.answers, proof
+    ) or _is_more(
+        target.slow, target.answers, others.slow, others.answers, proof
+    )
+
+
+def _is_more(
+    bad: int, answers: int, usual_bad: int, usual_answers: int, proof: float
+) -> bool:
+    """Returns whether ``bad`` of ``answers`` is more than usual.
+
+    Two things must hold: the share is well above the usual one, and the
+    logarithm of the likelihood ratio of the two shares reaches ``proof``.
+    """
+    usual = (usual_bad + PRIOR_SHARE * PRIOR_ANSWERS) / (
+        usual_answers + PRIOR_ANSWERS
+    )
+    usual = min(max(usual, LEAST_USUAL), MOST_USUAL)
+    if answers < MIN_ANSWERS:
+        return False
+    share = bad / answers
+    if share <= SHARE_FACTOR * usual + SHARE_SLACK:
         return False
-    usual = others.share(others.failures)
-    if (
-        target.failures >= MIN_BAD
-        and target.share(target.failures)
-        > FAILURE_FACTOR * usual + FAILURE_SLACK
-    ):
-        return True
-    slower = target.share(target.slow) - others.share(others.slow)
-    return target.slow >= MIN_BAD and slower > SLOW_SHARE
+    ratio = bad * math.log(share / usual)
+    if bad < answers:
+        good = answers - bad
+        ratio += good * math.log((1.0 - share) / (1.0 - usual))
+    return ratio >= proof
--- a/src/hoistmoor/core/relay/pace.py
+++ b/src/hoistmoor/core/relay/pace.py
@@ -7,7 +7,7 @@
 import attrs
 
 STEP = 0.05  # Weight of the newest answer in the usual duration.
-MIN_ANSWERS = 10  # Answers before a usual duration is believed.
+MIN_ANSWERS = 5  # Answers before a usual duration is believed.
 
 
 class AttemptOutcome(enum.Enum):
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Measured:
-    """Durations of one whole answer.
+    """Durations of one answer.
 
     Attributes:
         model: Model that answered, or empty.
@@ -29,6 +29,9 @@
         total: Seconds to its end.
         events: Events of the stream; 0 for a plain answer.
         failed: Whether the answer says that the server failed.
+        is_whole: Whether it came to its end; if not, ``total`` is the time at
+            which it was given up.
+        is_silent: Whether it never began.
     """
 
     model: str
@@ -36,6 +39,8 @@
     total: float
     events: int = 0
     failed: bool = False
+    is_whole: bool = True
+    is_silent: bool = False
 
 
 @attrs.define
@@ -57,6 +62,8 @@
         usual.answers += 1
         step = max(STEP, 1.0 / usual.answers)
         usual.first += step * (measured.first - usual.first)
+        if not measured.is_whole:
+            return
         pause = (measured.total - measured.first) / max(1, measured.events)
         usual.pause += step * (pause - usual.pause)
 
@@ -64,6 +71,8 @@
         self, key: tuple[str, str], measured: Measured, factor: float
     ) -> bool:
         """Returns whether an answer took ``factor`` times what is usual."""
+        if measured.is_silent:
+            return True
         usual = self._usual.get(key)
         if usual is None or usual.answers < MIN_ANSWERS:
             return False
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -76,7 +76,11 @@
 
 
 def next_phase(
-    phase: Phase, pooled: dict[str, evidence_lib.RouteEvidence], elapsed: float
+    phase: Phase,
+    pooled: dict[str, evidence_lib.RouteEvidence],
+    elapsed: float,
+    *,
+    is_doubted: bool = False,
 ) -> Phase | None:
     """Returns the phase that should follow now, or None to wait.
 
@@ -84,11 +88,15 @@
         phase: The one that was reached.
         pooled: Counts of all hosts, by route.
         elapsed: Part of the time allowed that is over, from 0.
+        is_doubted: Whether the target was found bad before. It gets no more
+            work since then, so nothing can speak for it.
     """
     if phase.is_final:
         return None
-    if any(evidence_lib.is_bad(route) for route in pooled.values()):
+    if is_doubted or evidence_lib.is_bad(pooled):
         return Phase.REVERTED
+    if evidence_lib.is_doubtful(pooled):
+        return None
     proved = sum(route.target.answers for route in pooled.values())
     if phase is Phase.TRIAL and elapsed >= SPREAD_AT and proved >= MIN_PROOF:
         return Phase.SPREAD
@@ -122,6 +130,9 @@
         counts: What this host counted, by the route's name.
         sent: Requests of this host to the service since the order.
         sent_target: Those among them that went to the target.
+        is_doubted: Whether the counts of some hosts together say that the
+            target is bad. Hosts tell one another, so that none has to wait
+            for the record of it on the store.
     """
 
     order: Order
@@ -130,6 +141,7 @@
     counts: dict[str, evidence_lib.RouteEvidence] = attrs.field(factory=dict)
     sent: int = 0
     sent_target: int = 0
+    is_doubted: bool = False
 
     def elapsed(self, now: float) -> float:
         """Returns the part of the time allowed that is over."""
@@ -138,7 +150,7 @@
     def note_answer(
         self, route: str, version: str, failed: bool, slow: bool
     ) -> None:
-        """Counts a whole answer."""
+        """Counts what an attempt showed."""
         evidence = self.counts.setdefault(route, evidence_lib.RouteEvidence())
         is_target = version == self.order.target
         tally = evidence.target if is_target else evidence.others
@@ -146,9 +158,9 @@
         tally.failures += failed
         tally.slow += slow
 
-    def has_local_doubt(self) -> bool:
-        """Returns whether this host's own counts suffice to stop a trial."""
-        return any(evidence_lib.is_bad(route) for route in self.counts.values())
+    def is_stopped(self) -> bool:
+        """Returns whether the target gets nothing for now."""
+        return self.is_doubted or evidence_lib.is_bad(self.counts)
 
 
 def _is_drawn(session: str, number: int) -> bool:
@@ -238,6 +250,22 @@
             if not each.phase.is_final
         )
 
+    def doubts(self) -> tuple[int, ...]:
+        """Returns the numbers of the orders whose targets are doubted."""
+        return tuple(
+            each.order.number
+            for each in self.progress.values()
+            if each.is_doubted
+        )
+
+    def doubt(self, number: int) -> Progress | None:
+        """Takes a doubt; returns the roll-out if that is news."""
+        for each in self.progress.values():
+            if each.order.number == number and not each.is_doubted:
+                each.is_doubted = True
+                return each
+        return None
+
     def _note_withdrawn(self, record: PhaseRecord) -> None:
         withdrawn = self.withdrawn.setdefault(record.service, set())
         if record.phase is Phase.REVERTED:
@@ -271,6 +299,8 @@
         target = {progress.order.target}
         if progress.phase is Phase.REVERTED:
             return open_to - target
+        if progress.phase is Phase.SPREAD and progress.is_stopped():
+            return open_to - target or open_to
         if progress.phase is Phase.TRIAL:
             has_failed = progress.order.target in failed
             if not has_failed and self._joins_trial(
@@ -288,7 +318,7 @@
         now: float,
     ) -> bool:
         target = progress.order.target
-        if target not in versions or progress.has_local_doubt():
+        if target not in versions or progress.is_stopped():
             return False
         if session:
             known = self.sessions.version_of(session, now)
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -243,7 +243,7 @@
         server: fleet_lib.ServerState,
         measured: pace_lib.Measured,
     ) -> None:
-        """Takes a whole answer into account for paces and roll-outs."""
+        """Takes what an attempt showed into account for roll-outs."""
         key = (request.route.name, measured.model)
         slow = self.paces.is_slow(key, measured, rollouts.SLOW_PACE)
         progress = self.rollouts.progress.get(request.service)
@@ -251,7 +251,8 @@
             progress is not None
             and server.entry.version == progress.order.target
         )
-        if not measured.failed and not is_target:
+        is_usual = not measured.failed and not measured.is_silent
+        if is_usual and not is_target:
             self.paces.note(key, measured)
         if progress is not None:
             progress.note_answer(
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -44,12 +44,14 @@
         host: Name of the asking host.
         work: Work by server, of it and of the hosts that ask it.
         evidence: What these have counted in the roll-outs under way.
+        doubts: Numbers of roll-out orders whose targets are taken for bad.
     """
 
     offsets: dict[str, int | None]
     host: str = ""
     work: dict[str, float] = attrs.field(factory=dict)
     evidence: tuple[evidence_lib.Evidence, ...] = ()
+    doubts: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -61,12 +63,14 @@
         depth: Hosts between that one and the store.
         topics: By name; topics that were not read yet are left out.
         work: Work by server, of all other hosts that are known there.
+        doubts: Numbers of roll-out orders whose targets are taken for bad.
     """
 
     age: float
     depth: int
     topics: dict[str, TopicCopy]
     work: dict[str, float] = attrs.field(factory=dict)
+    doubts: tuple[int, ...] = ()
 
 
 @functools.lru_cache(maxsize=PACKED_VALUES)
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -109,6 +109,7 @@
             self._state.depth,
             copies,
             outstanding.told_to(asked.host, own, now),
+            self._state.look_for_doubts(asked.doubts),
         )
 
 
@@ -204,6 +205,7 @@
                 self._state.router.fleet.own_work(), self._state.clock()
             ),
             self._state.known_evidence(),
+            self._state.look_for_doubts(),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -232,6 +234,7 @@
         # from when it was made.
         current_at = sent_at - answer.age
         self._state.outstanding.take_rest(answer.work, sent_at)
+        self._state.look_for_doubts(answer.doubts)
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
             # A read of the store that is under way may have gone further.
--- a/src/hoistmoor/relay/relay_task.py
+++ b/src/hoistmoor/relay/relay_task.py
@@ -282,15 +282,20 @@
             f" {state.name.lower()} {status}"
             f" {self._now() - attempt.started:.3f}s {attempt.detail}"
         )
-        if state is not _State.ANSWERED:
-            return
+        took = self._now() - attempt.started
+        is_silent = state is _State.SENT and took > self._request.route.target
+        is_whole = state is _State.ANSWERED
+        if not (is_whole or is_silent or attempt.is_dropped):
+            return  # Cut: its server may have died, whatever the version.
         first = attempt.first or self._now()
         measured = pace.Measured(
             attempt.send.model,
             first - attempt.started,
-            self._now() - attempt.started,
-            self._sequence.events - attempt.events_before,
+            took,
+            self._sequence.events - attempt.events_before if is_whole else 0,
             status >= 500,
+            is_whole=is_whole,
+            is_silent=is_silent,
         )
         self._state.router.note_answer(
             self._request, attempt.send.server, measured
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/rollout_task.py
@@ -131,7 +131,9 @@
             self._heard.book.of(order.service, order.number)
         )
         elapsed = progress.elapsed(self._state.clock())
-        phase = rollouts.next_phase(progress.phase, pooled, elapsed)
+        phase = rollouts.next_phase(
+            progress.phase, pooled, elapsed, is_doubted=progress.is_doubted
+        )
         if phase is None or not self._is_my_turn(progress, phase):
             return
         record = self._record(progress, phase)
@@ -147,7 +149,7 @@
             number=order.number,
             phase=phase.value,
             elapsed=round(elapsed, 3),
-            counts=pooled_text(pooled),
+            counts=evidence_lib.text_of(pooled),
             written=put is not None,
         )
         if put is not None:
@@ -186,15 +188,3 @@
                 phase=record.phase.value,
             )
         self._status_written[service] = record
-
-
-def pooled_text(pooled: dict[str, evidence_lib.RouteEvidence]) -> str:
-    """Returns counts for a log line: answers/failures/slow, target first."""
-    texts = []
-    for name, route in sorted(pooled.items()):
-        target, others = route.target, route.others
-        texts.append(
-            f"{name}={target.answers}/{target.failures}/{target.slow}"
-            f" of {others.answers}/{others.failures}/{others.slow}"
-        )
-    return "; ".join(texts)
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -76,6 +76,34 @@
             )
         )
 
+    def look_for_doubts(self, told: tuple[int, ...] = ()) -> tuple[int, ...]:
+        """Returns the numbers of all orders whose targets are doubted.
+
+        Args:
+            told: Those that another host told.
+        """
+        rollouts = self.router.rollouts
+        known = evidence_lib.by_order(self.known_evidence())
+        found = [
+            number
+            for number, each in known.items()
+            if evidence_lib.is_bad(evidence_lib.pool(each))
+        ]
+        for number in (*told, *found):
+            doubted = rollouts.doubt(number)
+            if doubted is not None:
+                self.believe(
+                    "rollout_doubted",
+                    service=doubted.order.service,
+                    target=doubted.order.target,
+                    number=number,
+                    told=number in told,
+                    counts=evidence_lib.text_of(
+                        evidence_lib.pool(known.get(number, []))
+                    ),
+                )
+        return rollouts.doubts()
+
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
         return (
--- a/tests/core/relay/test_relay_rollouts.py
+++ b/tests/core/relay/test_relay_rollouts.py
@@ -197,6 +197,76 @@
     )
 
 
+def test_failures_on_several_routes_add_up() -> None:
+    # 9 of 22 answers failed; no route has eight answers of which five failed.
+    pooled = {
+        "brief": evidence((7, 5, 0), (62, 0, 0))["chat"],
+        "dossier": evidence((11, 3, 0), (54, 0, 0))["chat"],
+        "reply": evidence((4, 1, 0), (43, 0, 0))["chat"],
+    }
+    assertions.assert_that(
+        rollouts.next_phase(Phase.TRIAL, pooled, 0.3),
+        matchers.Equals(Phase.REVERTED),
+    )
+
+
+def test_a_version_bad_on_one_route_is_not_hidden_by_the_others() -> None:
+    pooled = {
+        "brief": evidence((8, 4, 0), (40, 1, 0))["chat"],
+        "reply": evidence((60, 0, 0), (400, 4, 0))["chat"],
+    }
+    assertions.assert_that(
+        rollouts.next_phase(Phase.TRIAL, pooled, 0.3),
+        matchers.Equals(Phase.REVERTED),
+    )
+
+
+@pytest.mark.parametrize(
+    ("target", "others"),
+    [
+        # One server of six fails nearly half of its requests.
+        ((60, 5, 0), (500, 0, 0)),
+        # Overload makes both versions slow.
+        ((40, 0, 16), (300, 0, 100)),
+    ],
+)
+def test_trouble_that_is_not_the_versions_does_not_withdraw_it(
+    target: tuple[int, int, int], others: tuple[int, int, int]
+) -> None:
+    pooled = evidence(target, others)
+    assertions.assert_that(
+        rollouts.next_phase(Phase.TRIAL, pooled, 0.7),
+        matchers.Equals(Phase.SPREAD),
+    )
+
+
+def test_a_doubt_is_not_forgotten() -> None:
+    later = evidence((20, 3, 0), (300, 20, 0))
+    assertions.assert_that(
+        rollouts.next_phase(Phase.TRIAL, later, 0.9, is_doubted=True),
+        matchers.Equals(Phase.REVERTED),
+    )
+
+
+def test_a_doubtful_version_must_prove_more_before_it_spreads() -> None:
+    doubtful = evidence((20, 4, 0), (100, 0, 0))
+    assertions.assert_that(
+        rollouts.next_phase(Phase.TRIAL, doubtful, 0.9), matchers.Is(None)
+    )
+
+
+@pytest.mark.parametrize("phase", [Phase.TRIAL, Phase.SPREAD])
+def test_a_doubt_stops_new_work_before_any_record_says_so(
+    book: rollouts.RolloutBook, phase: Phase
+) -> None:
+    book.take_phase(record(phase))
+    doubted = book.doubt(ORDER.number)
+    assertions.assert_that(doubted, matchers.Is(book.progress["llm"]))
+    assertions.assert_that(book.doubt(ORDER.number), matchers.Is(None))
+    assertions.assert_that(book.doubts(), matchers.Equals((ORDER.number,)))
+    assertions.assert_that(set(send(book, 100)), matchers.Equals({"v1"}))
+
+
 def test_hosts_take_turns_in_one_order() -> None:
     hosts = [f"h{number}" for number in range(5)]
     turns = [rollouts.turn_of(host, hosts, 7) for host in hosts]
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/test_relay_peers.py
@@ -15,6 +15,7 @@
 from testtools import matchers
 
 from hoistmoor.clients import sessions
+from hoistmoor.core.relay import evidence as evidence_lib
 from hoistmoor.core.relay import mirror
 from hoistmoor.core.relay import rollouts
 from hoistmoor.relay import application
@@ -270,6 +271,27 @@
     assertions.assert_that(writers, matchers.Equals({f"llm/{reader}"}))
 
 
+@pytest.mark.parametrize("finds", [0, 1])
+async def test_hosts_tell_one_another_that_a_version_is_bad(
+    platform: relay_platform.MemoryPlatform, pair: list[Member], finds: int
+) -> None:
+    order = rollouts.Order("desk", "v2", 1000.0, 7)
+    await platform.publish(platform.operator, "rollout/desk", order)
+    states = [each.relay.state for each in pair]
+    await until(lambda: all(each.router.rollouts.progress for each in states))
+    # No record of it can be written.
+    platform.phases.is_away = True
+    progress = states[finds].router.rollouts.progress["desk"]
+    for _ in range(evidence_lib.MIN_ANSWERS):
+        progress.note_answer("look", "v2", failed=True, slow=False)
+    await until(
+        lambda: all(
+            each.router.rollouts.progress["desk"].is_stopped()
+            for each in states
+        )
+    )
+
+
 async def test_a_host_that_starts_beside_others_reads_each_topic_once(
     platform: relay_platform.MemoryPlatform, pair: list[Member]
 ) -> None:
