Tell callers to come back when there may be service

A host that cannot serve names the time for which it has not been able to, spread by a half, 3 s at most; so the first wait is still short, as another host may serve.

--- a/src/hoistmoor/core/relay/freshness.py
+++ b/src/hoistmoor/core/relay/freshness.py
@@ -49,7 +49,11 @@
 
     def is_current(self, now: float) -> bool:
         """Returns whether what the configuration lacks is certainly absent."""
-        return self.age(now) < self.bound * (1.0 - MARGIN)
+        return self.over_for(now) < 0.0
+
+    def over_for(self, now: float) -> float:
+        """Returns the seconds since it was current; negative while it is."""
+        return self.age(now) - self.bound * (1.0 - MARGIN)
 
     def holds(self, now: float) -> bool:
         """Returns whether requests with a known key may be sent on."""
--- a/src/hoistmoor/core/routing/hashing.py
+++ b/src/hoistmoor/core/routing/hashing.py
@@ -44,6 +44,9 @@
     return -weight / min(math.log(uniform), -1e-300)
 
 
+_UNIT_STEPS = 1 << 30  # Numbers that ``Draws.unit`` tells apart.
+
+
 @attrs.define
 class Draws:
     """A stream of pseudo-random integers; cheaper than one hash each.
@@ -65,3 +68,7 @@
             self.state * 6364136223846793005 + 1442695040888963407
         ) & 0xFFFFFFFFFFFFFFFF
         return ((self.state >> 33) * limit) >> 31
+
+    def unit(self) -> float:
+        """Returns the next number in [0, 1)."""
+        return self.below(_UNIT_STEPS) / _UNIT_STEPS
--- a/src/hoistmoor/relay/admission.py
+++ b/src/hoistmoor/relay/admission.py
@@ -19,7 +19,6 @@
 
 DEFAULT_DEADLINE = 60.0  # Seconds, for callers that tell none.
 _MS = 1000.0
-_DRAWS = 1 << 30
 
 
 @attrs.frozen
@@ -152,7 +151,7 @@
 
     def _draw_service(self, route: configuration_lib.Route) -> str:
         total = sum(share.weight for share in route.shares)
-        point = self._draws.below(_DRAWS) / _DRAWS * total
+        point = self._draws.unit() * total
         for share in route.shares:
             point -= share.weight
             if point < 0:
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -124,6 +124,7 @@
             self.state,
             admission.Admission(self.state, platform.headers, draws),
             relay_task.Links(backends, platform.headers, dialect),
+            draws,
         )
         self.settings_task = settings_task.SettingsTask(
             self.state, settings, read_settings, self.apply
--- a/src/hoistmoor/relay/caller_answer.py
+++ b/src/hoistmoor/relay/caller_answer.py
@@ -7,24 +7,13 @@
 from aiohttp import web
 
 from hoistmoor.core import outcomes
-from hoistmoor.core import refusals
 from hoistmoor.relay import forwarding
 
 if TYPE_CHECKING:
-    from hoistmoor.clients import exchange as exchange_lib
+    from collections.abc import Callable
 
-# Seconds after which a refused caller should come back. Another host is asked
-# then, so where only this host is the reason the wait is short.
-_WAIT_ELSEWHERE = 0.05
-_WAIT_FOR_ROOM = 0.5
-_ELSEWHERE = frozenset(
-    {
-        refusals.Reason.STOPPING,
-        refusals.Reason.NO_TABLE,
-        refusals.Reason.TABLE_STALE,
-        refusals.Reason.BACKEND_UNREACHABLE,
-    }
-)
+    from hoistmoor.clients import exchange as exchange_lib
+    from hoistmoor.core import refusals
 
 
 class CallerAnswer:
@@ -34,16 +23,24 @@
         response: Once it has begun.
     """
 
-    def __init__(self, request: web.BaseRequest, keep_open: bool) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        keep_open: bool,
+        wait_for: Callable[[refusals.Reason], float],
+    ) -> None:
         """Makes an answer.
 
         Args:
             request: What is answered.
             keep_open: Whether the connection may be used again.
+            wait_for: Tells after how many seconds a caller that is refused
+                for a reason should come back.
         """
         self.response: web.StreamResponse | None = None
         self._request = request
         self._keep_open = keep_open
+        self._wait_for = wait_for
 
     async def begin(self, head: exchange_lib.Head) -> None:
         """Sends a server's head; the body follows in chunks."""
@@ -89,7 +86,8 @@
             status=_status_of(refusal),
         )
         if refusal.outcome is outcomes.Outcome.NOT_RUN:
-            response.headers["Retry-After"] = f"{_wait(refusal):g}"
+            wait = self._wait_for(refusal.reason)
+            response.headers["Retry-After"] = f"{wait:.3f}"
         await self._prepare(response)
         await response.write_eof()
         return response
@@ -121,9 +119,3 @@
     if status == 503:
         return 502
     return status
-
-
-def _wait(refusal: refusals.Refusal) -> float:
-    if refusal.reason in _ELSEWHERE:
-        return _WAIT_ELSEWHERE
-    return _WAIT_FOR_ROOM
--- a/src/hoistmoor/relay/front.py
+++ b/src/hoistmoor/relay/front.py
@@ -9,11 +9,13 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
+from hoistmoor.core.relay import retry_after
 from hoistmoor.relay import admission as admission_lib
 from hoistmoor.relay import caller_answer
 from hoistmoor.relay import relay_task
 
 if TYPE_CHECKING:
+    from hoistmoor.core.routing import hashing
     from hoistmoor.relay import state as state_lib
 
 
@@ -33,11 +35,13 @@
         state: state_lib.RelayState,
         admission: admission_lib.Admission,
         links: relay_task.Links,
+        draws: hashing.Draws,
     ) -> None:
         self.running: set[asyncio.Task[Any]] = set()
         self._state = state
         self._admission = admission
         self._links = links
+        self._draws = draws
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
@@ -58,7 +62,9 @@
             arrived=self._state.clock(),
         )
         answer = caller_answer.CallerAnswer(
-            request, keep_open=not self._state.draining
+            request,
+            keep_open=not self._state.draining,
+            wait_for=self._wait_for,
         )
         admitted = self._admission.admit(head)
         if isinstance(admitted, refusals.Refusal):
@@ -97,6 +103,11 @@
             parts.append(data)
         return b"".join(parts)
 
+    def _wait_for(self, reason: refusals.Reason) -> float:
+        return retry_after.wait_for(
+            reason, self._state.unable_for(), self._draws.unit()
+        )
+
     async def _skip_body(self, request: web.BaseRequest) -> None:
         """Reads a refused request to its end, so that its caller can hear."""
         async for _ in request.content.iter_any():
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -35,6 +35,7 @@
         source: Name of the host that is asked for what the store says; empty
             while this host reads the store itself.
         depth: Hosts between this one and the store.
+        started_at: Steady time at which this process began.
     """
 
     clock: Callable[[], float]
@@ -53,6 +54,11 @@
     stopping: bool = False
     source: str = ""
     depth: int = 0
+    started_at: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Notes the time."""
+        self.started_at = self.clock()
 
     def believe(self, kind: str, **fields: object) -> None:
         """Writes and counts a change of what this host believes."""
@@ -104,6 +110,16 @@
                 )
         return rollouts.doubts()
 
+    def unable_for(self) -> float:
+        """Returns the seconds since requests with a key could be served.
+
+        0 while they can be.
+        """
+        now = self.clock()
+        if self.lease.holds(now):
+            return 0.0
+        return min(now - self.started_at, self.lease.over_for(now))
+
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
         return (
