Rest a backend server at the first connection that it does not take

Change: one connection that is not taken rests the server for a second, twice as long each time after; attempts under way together count once. The request that follows the rest finds out.

--- a/src/hoistmoor/core/relay/fleet.py
+++ b/src/hoistmoor/core/relay/fleet.py
@@ -23,6 +23,11 @@
 LAPSE_GRACE = 2.0
 FULL_REST = 0.25  # Seconds without new work for a server that had no room.
 WORK_STEP = 0.1  # Weight of the newest request in a server's mean work.
+# Seconds without new work for a server that took no connection, and doubled
+# each time that it takes none after them. A server that died has no work, so
+# that it looks the least busy to all hosts.
+UNREACHABLE_REST = 1.0
+LONGEST_UNREACHABLE_REST = 8.0
 MAX_RESTING = 0.5  # Part of a service's servers that may rest as outliers.
 
 
--- a/src/hoistmoor/core/relay/pace.py
+++ b/src/hoistmoor/core/relay/pace.py
@@ -16,6 +16,7 @@
     WELL = enum.auto()
     FAILED = enum.auto()
     FULL = enum.auto()  # The server declined for want of room.
+    UNREACHABLE = enum.auto()  # It took no connection.
     LEFT = enum.auto()  # Given up here: it tells nothing of the server.
 
 
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/router.py
@@ -234,6 +234,13 @@
         if outcome is pace_lib.AttemptOutcome.FULL:
             server.health.full_until = now + fleet_lib.FULL_REST
             return
+        if outcome is pace_lib.AttemptOutcome.UNREACHABLE:
+            server.health.rest_unreachable(
+                now,
+                fleet_lib.UNREACHABLE_REST,
+                fleet_lib.LONGEST_UNREACHABLE_REST,
+            )
+            return
         server.health.note(outcome is pace_lib.AttemptOutcome.WELL, 1.0)
         if server.health.is_outlier():
             server.health.eject(now)
--- a/src/hoistmoor/core/routing/health.py
+++ b/src/hoistmoor/core/routing/health.py
@@ -81,6 +81,24 @@
         self.ejected_until = now + min(rest, LONGEST_REST_S)
         self.ejections += 1
 
+    def rest_unreachable(
+        self, now: float, first: float, longest: float
+    ) -> None:
+        """Starts a rest after a connection that was not taken.
+
+        Attempts that were under way together count once.
+
+        Args:
+            now: Steady time.
+            first: Seconds of the first rest.
+            longest: Seconds of any rest; each is twice as long as the last.
+        """
+        if now < self.ejected_until:
+            return
+        rest = min(longest, first * 2.0 ** min(self.ejections, 10))
+        self.ejected_until = now + rest
+        self.ejections += 1
+
     def wake(self, now: float) -> None:
         """Ends what is over by ``now``."""
         if self.full_until <= now:
--- a/src/hoistmoor/relay/relay_task.py
+++ b/src/hoistmoor/relay/relay_task.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay import messages
 from hoistmoor.core.relay import pace
 from hoistmoor.core.relay import streams
+from hoistmoor.relay import attempt as attempt_lib
 from hoistmoor.relay import forwarding
 from hoistmoor.relay import header_names
 
@@ -68,19 +69,6 @@
     dialect: dialect_lib.Dialect
 
 
-@attrs.define
-class _Attempt:
-    send: messages.Send
-    started: float
-    exchange: exchange_lib.Exchange
-    head: exchange_lib.Head | None = None
-    first: float | None = None
-    events_before: int = 0
-    body: list[bytes] = attrs.field(factory=list)
-    is_dropped: bool = False
-    detail: str = ""
-
-
 class RelayTask:
     """One request at this host."""
 
@@ -101,7 +89,7 @@
         self._answer = answer
         self._machine = machine_lib.RelayMachine(request, state.router)
         self._sequence = streams.EventSequence(last_id=request.last_event)
-        self._kept: _Attempt | None = None
+        self._kept: attempt_lib.Attempt | None = None
         self._is_stream = request.route.kind is configuration.RouteKind.STREAM
         self._trail: list[str] = []
 
@@ -136,7 +124,7 @@
         outcome = pace.AttemptOutcome.LEFT
         try:
             state = await self._exchange(attempt)
-            outcome = _outcome_of(state, attempt)
+            outcome = attempt.outcome(state)
         finally:
             attempt.exchange.cancel()
             self._state.router.note_ended(
@@ -149,12 +137,12 @@
                 messages.DeadlineReached(state), self._now()
             )
         self._kept = attempt
-        status = attempt.head.status if attempt.head else 0
         return self._machine.handle(
-            messages.AttemptEnded(state, status, attempt.detail), self._now()
+            messages.AttemptEnded(state, attempt.status, attempt.detail),
+            self._now(),
         )
 
-    def _open(self, send: messages.Send) -> _Attempt:
+    def _open(self, send: messages.Send) -> attempt_lib.Attempt:
         now = self._now()
         last_event = self._sequence.last_id if self._is_stream else None
         request = exchange_lib.BackendRequest(
@@ -182,11 +170,13 @@
             self._links.dialect,
         )
         self._sequence.begin_run()
-        return _Attempt(
+        return attempt_lib.Attempt(
             send, now, exchange, events_before=self._sequence.events
         )
 
-    async def _exchange(self, attempt: _Attempt) -> outcomes.ExchangeState:
+    async def _exchange(
+        self, attempt: attempt_lib.Attempt
+    ) -> outcomes.ExchangeState:
         """Returns how far the exchange had come when it ended."""
         try:
             async for part in attempt.exchange:
@@ -202,7 +192,9 @@
             return _State.ANSWERING if state is _State.ANSWERED else state
         return attempt.exchange.state
 
-    async def _take(self, attempt: _Attempt, part: exchange_lib.Part) -> None:
+    async def _take(
+        self, attempt: attempt_lib.Attempt, part: exchange_lib.Part
+    ) -> None:
         if isinstance(part, exchange_lib.Head):
             await self._take_head(attempt, part)
         elif isinstance(part, exchange_lib.Frame):
@@ -214,7 +206,7 @@
             )
 
     async def _take_head(
-        self, attempt: _Attempt, head: exchange_lib.Head
+        self, attempt: attempt_lib.Attempt, head: exchange_lib.Head
     ) -> None:
         names = self._links.names
         report = header_names.parse_load(head.headers.get(names.load))
@@ -238,7 +230,7 @@
             attempt.detail = f"confidence {confidence}"
 
     def _check_genuine(
-        self, attempt: _Attempt, head: exchange_lib.Head
+        self, attempt: attempt_lib.Attempt, head: exchange_lib.Head
     ) -> None:
         """Checks that an answer's bytes are those that the server made."""
         encoding = head.headers.get("Content-Encoding", "identity")
@@ -251,20 +243,21 @@
             "Ask another backend server.",
         )
 
-    def _passes(self, attempt: _Attempt) -> bool:
+    def _passes(self, attempt: attempt_lib.Attempt) -> bool:
         """Returns whether an answer goes to the caller as it comes."""
         head = attempt.head
         return self._is_stream and head is not None and head.status < 300
 
-    async def _take_data(self, attempt: _Attempt, data: bytes) -> None:
+    async def _take_data(
+        self, attempt: attempt_lib.Attempt, data: bytes
+    ) -> None:
         if not self._passes(attempt):
             attempt.body.append(data)
             return
         events = self._sequence.feed(data)
         if not events:
             return
-        if attempt.first is None:
-            attempt.first = self._now()
+        attempt.note_events(self._now())
         if self._answer.response is None:
             assert attempt.head is not None
             await self._answer.begin(attempt.head)
@@ -272,31 +265,18 @@
         await self._answer.write(events)
 
     def _note_attempt(
-        self, attempt: _Attempt, state: outcomes.ExchangeState
+        self, attempt: attempt_lib.Attempt, state: outcomes.ExchangeState
     ) -> None:
         self._state.counters.attempts.labels(state.name.lower()).inc()
-        status = attempt.head.status if attempt.head else 0
-        entry = attempt.send.server.entry
-        self._trail.append(
-            f"{entry.server_id} {entry.version} {attempt.send.model}"
-            f" {state.name.lower()} {status}"
-            f" {self._now() - attempt.started:.3f}s {attempt.detail}"
-        )
-        took = self._now() - attempt.started
-        is_silent = state is _State.SENT and took > self._request.route.target
-        is_whole = state is _State.ANSWERED
-        if not (is_whole or is_silent or attempt.is_dropped):
-            return  # Cut: its server may have died, whatever the version.
-        first = attempt.first or self._now()
-        measured = pace.Measured(
-            attempt.send.model,
-            first - attempt.started,
-            took,
-            self._sequence.events - attempt.events_before if is_whole else 0,
-            status >= 500,
-            is_whole=is_whole,
-            is_silent=is_silent,
+        self._trail.append(attempt.text(state, self._now()))
+        measured = attempt.measured(
+            state,
+            self._now(),
+            self._request.route.target,
+            self._sequence.events - attempt.events_before,
         )
+        if measured is None:
+            return
         self._state.router.note_answer(
             self._request, attempt.send.server, measured
         )
@@ -332,19 +312,3 @@
     if isinstance(effect, messages.Break):
         return "broken_off", outcomes.Outcome.UNKNOWN.value
     return "delivered", outcomes.Outcome.DONE.value
-
-
-def _outcome_of(
-    state: outcomes.ExchangeState, attempt: _Attempt
-) -> pace.AttemptOutcome:
-    if attempt.is_dropped:
-        return pace.AttemptOutcome.WELL
-    if state is _State.DECLINED:
-        return pace.AttemptOutcome.FULL
-    if state is _State.ANSWERED:
-        assert attempt.head is not None
-        failed = attempt.head.status >= 500
-        return (
-            pace.AttemptOutcome.FAILED if failed else pace.AttemptOutcome.WELL
-        )
-    return pace.AttemptOutcome.FAILED
--- a/tests/core/relay/test_relay_placement.py
+++ b/tests/core/relay/test_relay_placement.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.core.relay import cascade
 from hoistmoor.core.relay import fleet as fleet_lib
+from hoistmoor.core.relay import messages
 from hoistmoor.core.relay import pace
 from hoistmoor.core.relay import partition
 from hoistmoor.core.relay import placement
@@ -160,6 +161,40 @@
         assertions.assert_that(left, matchers.HasLength(expected))
 
 
+def test_a_server_that_takes_no_connection_rests_at_once(
+    router: router_lib.Router,
+) -> None:
+    # It died with no work under way, so that it looks the least busy.
+    dead = router.fleet.servers["s0"]
+    for each in router.fleet:
+        each.in_flight = 0 if each is dead else 3
+    request = relay_parts.request()
+    work_class = router.class_of(request, "")
+
+    def pick(now: float) -> str:
+        found = router.pick(
+            request, "", work_class, frozenset(), frozenset(), now
+        )
+        assert found is not None
+        return found.entry.server_id
+
+    def fail(now: float) -> None:
+        serial = router.begin_attempt(request, work_class, now)
+        send = messages.Send(dead, "", work_class, serial, now + 1.0)
+        router.note_sent(request, send, False, now)
+        router.note_ended(request, send, pace.AttemptOutcome.UNREACHABLE, now)
+
+    assertions.assert_that(pick(100.0), matchers.Equals("s0"))
+    for _ in range(3):  # Under way together.
+        fail(100.0)
+    assertions.assert_that(pick(100.9), matchers.Not(matchers.Equals("s0")))
+    # One request finds out whether it is back; if not, it rests for longer.
+    assertions.assert_that(pick(101.1), matchers.Equals("s0"))
+    fail(101.1)
+    assertions.assert_that(pick(103.0), matchers.Not(matchers.Equals("s0")))
+    assertions.assert_that(pick(103.2), matchers.Equals("s0"))
+
+
 def test_an_outlier_of_another_version_leaves_none_without_a_server(
     router: router_lib.Router,
 ) -> None:
