--- a/src/hoistmoor/core/relay/evidence.py
+++ b/src/hoistmoor/core/relay/evidence.py
@@ -14,8 +14,8 @@
 # server that fails.
 MIN_ANSWERS = 8
 # Natural logarithm of the likelihood ratio at which a version is bad: a good
-# one is taken for bad in about one look of 400. Four failures of eight answers reach
-# it, where the others fail one time in thirty.
+# one is taken for bad in about one look of 400. Four failures of eight answers
+# reach it, where the others fail one time in thirty.
 CERTAIN = 6.0
 DOUBT = 2.0  # The same at which a version must prove more: one look in seven.
 # Times the old version's share of bad answers, and this share more, that are
