Let both rests of a server share one rule; pool counts once for a doubt

Read over once more: the doubling of a rest stood twice in core/routing/health, and the counts that stop a trial were added up a second time for their line. Behaviour is as it was; ruled out was one number for placement's draws too, as it would change which engines are drawn. Checked: linter, types, tests of core/relay, core/routing and relay.

--- a/src/hoistmoor/core/routing/health.py
+++ b/src/hoistmoor/core/routing/health.py
@@ -77,9 +77,7 @@
 
     def eject(self, now: float) -> None:
         """Starts a rest, twice as long as the last."""
-        rest = FIRST_REST_S * 2.0 ** min(self.ejections, 10)
-        self.ejected_until = now + min(rest, LONGEST_REST_S)
-        self.ejections += 1
+        self._rest(now, FIRST_REST_S, LONGEST_REST_S)
 
     def rest_unreachable(
         self, now: float, first: float, longest: float
@@ -93,10 +91,12 @@
             first: Seconds of the first rest.
             longest: Seconds of any rest; each is twice as long as the last.
         """
-        if now < self.ejected_until:
-            return
-        rest = min(longest, first * 2.0 ** min(self.ejections, 10))
-        self.ejected_until = now + rest
+        if now >= self.ejected_until:
+            self._rest(now, first, longest)
+
+    def _rest(self, now: float, first: float, longest: float) -> None:
+        rest = first * 2.0 ** min(self.ejections, 10)
+        self.ejected_until = now + min(rest, longest)
         self.ejections += 1
 
     def wake(self, now: float) -> None:
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -89,11 +89,16 @@
             told: Those that another host told.
         """
         rollouts = self.router.rollouts
-        known = evidence_lib.by_order(self.known_evidence())
+        pooled = {
+            number: evidence_lib.pool(each)
+            for number, each in evidence_lib.by_order(
+                self.known_evidence()
+            ).items()
+        }
         found = [
             number
-            for number, each in known.items()
-            if evidence_lib.is_bad(evidence_lib.pool(each))
+            for number, counts in pooled.items()
+            if evidence_lib.is_bad(counts)
         ]
         for number in (*told, *found):
             doubted = rollouts.doubt(number)
@@ -104,9 +109,7 @@
                     target=doubted.order.target,
                     number=number,
                     told=number in told,
-                    counts=evidence_lib.text_of(
-                        evidence_lib.pool(known.get(number, []))
-                    ),
+                    counts=evidence_lib.text_of(pooled.get(number, {})),
                 )
         return rollouts.doubts()
 
