End an outage when another host has seen its end

A host that loses the store while it reads itself, and is then told by another host, kept the outage open until its own next read. That came 14.5 s later, and every entry of a server that went in the two seconds after it was kept in doubt, until 3.0 to 3.1 s after the server had left. Ruled out: an old copy of the servers' topic; the sources of both hosts were current. A slow send: the server was chosen after it had gone. Change: a copy that proves the topic current after the loss ends the outage; what is in doubt then is what the source doubts.

--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -191,6 +191,7 @@
         """Takes what was read, here or by another host, and tells of it."""
         batch = update.batch
         self.current_at = max(self.current_at, update.current_at)
+        self._end_outage(update.current_at)
         # An outage at the source is one for those that ask this host, too.
         self._regained_at = max(
             self._regained_at, self._state.clock() - update.after_outage
@@ -201,6 +202,15 @@
         self.mirror.take(attrs.evolve(batch, records=kept))
         self._state.topics_read.add(self.name)
 
+    def _end_outage(self, current_at: float) -> None:
+        """Ends an outage that another host has seen the end of.
+
+        Were it to end with the next read of this host's own, which may be
+        much later, entries that go then would be kept in doubt.
+        """
+        if self._lost_at is not None and current_at > self._lost_at:
+            self._lost_at = None
+
     def _note_lost(self, error: errors.HoistmoorError) -> None:
         self._gate.note_lost()
         if self._lost_at is None:
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/test_relay_follower.py
@@ -146,6 +146,25 @@
     assertions.assert_that(ready, matchers.HasLength(0))
 
 
+async def test_an_outage_whose_end_others_saw_is_not_ended_by_a_later_read(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    await platform.publish(platform.servers, "a", relay_parts.entry("a"))
+    await servers.read_once()
+    await fail_and_return(rig, platform, servers)
+    # From here on another host reads for this one, which then reads again.
+    rig.clock.now += 1.0
+    copy = topics.Batch((), 1)
+    servers.take(follower.Update(copy, rig.clock.now, float("inf")))
+    rig.clock.now += 14.0
+    await platform.publish(platform.servers, "a", None)
+    await servers.read_once()
+    ready = rig.state.router.fleet.ready("desk", {"v1"}, (), rig.clock.now)
+    assertions.assert_that(ready, matchers.HasLength(0))
+
+
 async def test_a_mere_heartbeat_is_not_passed_on(
     platform: relay_platform.MemoryPlatform, servers: follower.TopicFollower
 ) -> None:
