Keep sessions off a trial in its first half, and share how old an order is

Ruled out: hosts that tell one another of live sessions. The next request of one comes sooner than word along three hosts. Change: a trial takes requests without a session first; about half of the model requests carry none. Sessions join from 0.52 of the time allowed on, a fifth of them by the hash: from then on a change to the new version is allowed. Hosts tell one another how long ago an order was seen, so one that starts in a roll-out does not put sessions back on the old version.

--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/rollouts.py
@@ -18,8 +18,13 @@
 TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
 SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
 COMPLETE_AT = 0.85  # Part of it after which the old version is given up.
-# Part of the sessions, by a hash that all hosts share, that may join a trial.
-SESSION_SHARE = 0.1
+# Part of the time allowed after which sessions may join a trial. A session
+# that ran on the old version elsewhere is not known here, and may not change
+# in the first half: of 195 hosts, hardly two of its requests meet the same.
+SESSIONS_AT = 0.52
+# Part of the sessions, by a hash that all hosts share, that then may. With a
+# tenth of the other requests before, 14 in 100 of all are tried at the most.
+SESSION_SHARE = 0.2
 MIN_PROOF = 20  # Answers of the target, of all hosts, before all requests move.
 SLOW_PACE = 3.5  # Times the usual duration that make an answer slow.
 # Seconds after its last record of counts that a host has its turn.
@@ -143,6 +148,14 @@
     sent_target: int = 0
     is_doubted: bool = False
 
+    def take_age(self, age: float, now: float) -> None:
+        """Takes another host's word of how long ago the order was seen.
+
+        A host that starts in the middle of a roll-out counts from its start
+        otherwise, and puts sessions back on the old version.
+        """
+        self.seen_at = min(self.seen_at, now - age)
+
     def elapsed(self, now: float) -> float:
         """Returns the part of the time allowed that is over."""
         return (now - self.seen_at) / max(self.order.duration, 1e-3)
@@ -250,6 +263,19 @@
             if not each.phase.is_final
         )
 
+    def ages(self, now: float) -> dict[int, float]:
+        """Returns the seconds since each order was seen, by its number."""
+        return {
+            each.order.number: now - each.seen_at
+            for each in self.progress.values()
+        }
+
+    def take_ages(self, ages: dict[int, float], now: float) -> None:
+        """Takes another host's word of the same."""
+        for each in self.progress.values():
+            if each.order.number in ages:
+                each.take_age(ages[each.order.number], now)
+
     def doubts(self) -> tuple[int, ...]:
         """Returns the numbers of the orders whose targets are doubted."""
         return tuple(
@@ -326,7 +352,9 @@
                 return known == target
             # No host may decide this by its own counts: a session's next
             # request may come to another host.
-            return _is_drawn(session, progress.order.number)
+            return progress.elapsed(now) >= SESSIONS_AT and _is_drawn(
+                session, progress.order.number
+            )
         return progress.sent_target < TRIAL_SHARE * progress.sent
 
     def note_sent(
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peer_codec.py
@@ -48,6 +48,7 @@
         work: Work by server, of it and of the hosts that ask it.
         evidence: What these have counted in the roll-outs under way.
         doubts: Numbers of roll-out orders whose targets are taken for bad.
+        order_ages: Seconds since each roll-out order was seen, by its number.
     """
 
     offsets: dict[str, int | None]
@@ -55,6 +56,7 @@
     work: dict[str, float] = attrs.field(factory=dict)
     evidence: tuple[evidence_lib.Evidence, ...] = ()
     doubts: tuple[int, ...] = ()
+    order_ages: dict[int, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -66,12 +68,14 @@
         topics: By name; topics that were not read yet are left out.
         work: Work by server, of all other hosts that are known there.
         doubts: Numbers of roll-out orders whose targets are taken for bad.
+        order_ages: Seconds since each roll-out order was seen, by its number.
     """
 
     depth: int
     topics: dict[str, TopicCopy]
     work: dict[str, float] = attrs.field(factory=dict)
     doubts: tuple[int, ...] = ()
+    order_ages: dict[int, float] = attrs.field(factory=dict)
 
     def age(self, names: frozenset[str]) -> float:
         """Returns the age of the oldest of some topics, in seconds."""
@@ -103,7 +107,9 @@
 
 def encode(message: CopyRequest | CopyAnswer | mirror.Host) -> bytes:
     """Returns a message's bytes."""
-    return orjson.dumps(_CONVERTER.unstructure(message))
+    return orjson.dumps(
+        _CONVERTER.unstructure(message), option=orjson.OPT_NON_STR_KEYS
+    )
 
 
 def decode_request(data: bytes) -> CopyRequest:
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -123,6 +123,8 @@
         for evidence in asked.evidence:
             self._state.evidence.take(evidence)
         now = self._state.clock()
+        rollouts = self._state.router.rollouts
+        rollouts.take_ages(asked.order_ages, now)
         outstanding = self._state.outstanding
         outstanding.take(asked.host, asked.work, now)
         own = self._state.router.fleet.own_work()
@@ -131,6 +133,7 @@
             copies,
             outstanding.told_to(asked.host, own, now),
             self._state.look_for_doubts(asked.doubts),
+            rollouts.ages(now),
         )
 
 
@@ -287,6 +290,7 @@
             ),
             self._state.known_evidence(),
             self._state.look_for_doubts(),
+            self._state.router.rollouts.ages(self._state.clock()),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -327,6 +331,10 @@
             follower.take(
                 follower_lib.Update(topic.batch, current_at, topic.after_outage)
             )
+        # After the topics, which may bring the orders themselves.
+        self._state.router.rollouts.take_ages(
+            answer.order_ages, self._state.clock()
+        )
 
 
 class SelfListing:
