Name the pauses between tries of a store that is away

Cause: the gate compared its longest pause with a constant to learn its first. Change: a Backoff has both; core/relay/reading.py says which one a host uses.

--- a/src/hoistmoor/core/relay/reading.py
+++ b/src/hoistmoor/core/relay/reading.py
@@ -45,6 +45,44 @@
 ALONE_TOPICS = frozenset({"operator", "hosts"})
 
 
+@attrs.frozen
+class Backoff:
+    """Pauses between two tries of a store that is away, each twice the last.
+
+    Attributes:
+        first: Seconds after the first failed try.
+        longest: Seconds, at most.
+    """
+
+    first: float
+    longest: float
+
+
+# For hosts on which others count: short, as the lease on a configuration is.
+EAGER = Backoff(first=0.1, longest=0.5)
+# For hosts that know no others yet: with the first of each failure domain
+# trying twice a second, they may come a little later.
+ALONE = Backoff(first=0.1, longest=1.0)
+# For hosts that learn of the store's return from others: they only look
+# whether it is there for them while it is not for those.
+RELAXED = Backoff(first=2.0, longest=4.0)
+
+
+def backoff_of(
+    *, knows_hosts: bool, is_answered: bool, is_first: bool
+) -> Backoff:
+    """Returns how often a host tries a store that is away.
+
+    Args:
+        knows_hosts: Whether it knows the other hosts.
+        is_answered: Whether one of them has answered lately.
+        is_first: Whether its failure domain counts on it.
+    """
+    if not knows_hosts:
+        return ALONE
+    return RELAXED if is_answered and not is_first else EAGER
+
+
 def is_current(age: float, depth: int) -> bool:
     """Returns whether a copy is current enough.
 
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/follower.py
@@ -123,6 +123,8 @@
                 self._note_lost(error)
                 await self._hold_back()
             else:
+                # The operators' topic shows from now on whether the store
+                # is there.
                 self._is_held = not self._is_probe
                 await asyncio.sleep(self._pause)
 
@@ -141,7 +143,7 @@
             await self._gate.back_off()
             return
         self._is_held = True
-        await asyncio.sleep(store_gate.FIRST_BACKOFF)
+        await asyncio.sleep(store_gate.PAUSE)
 
     async def read_once(self) -> None:
         """Reads one batch and tells the listener."""
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers.py
@@ -154,7 +154,11 @@
             found = await self._ask_any()
             self._note_source(found)
             self._take_others_work()
-            self._gate.longest_backoff = self._longest_backoff()
+            self._gate.backoff = reading.backoff_of(
+                knows_hosts=self._hosts.known.is_set(),
+                is_answered=self._some_answered,
+                is_first=self._sources.is_first(),
+            )
             waits = not found and self._situation().waits()
             if not waits:
                 self._switch()
@@ -175,13 +179,6 @@
         if self._listing.is_needed():
             self._listing.due.set()
 
-    def _longest_backoff(self) -> float:
-        if not self._hosts.known.is_set():
-            return store_gate.ALONE_BACKOFF
-        if self._some_answered and not self._sources.is_first():
-            return store_gate.RELAXED_BACKOFF
-        return store_gate.LONGEST_BACKOFF
-
     def _situation(self) -> reading.Situation:
         return reading.Situation(
             has_all=self._has_all(),
--- a/src/hoistmoor/relay/store_gate.py
+++ b/src/hoistmoor/relay/store_gate.py
@@ -4,15 +4,9 @@
 
 import asyncio
 
-FIRST_BACKOFF = 0.1  # Seconds after the first failed call.
-LONGEST_BACKOFF = 0.5  # Short, as the lease on the configuration is.
-# For hosts that know no others yet: with the first of each failure domain
-# trying twice a second, they may come a little later.
-ALONE_BACKOFF = 1.0
-# For hosts that learn of the store's return from others: they only look
-# whether it is there for them while it is not for those.
-RELAXED_BACKOFF = 4.0
-FIRST_RELAXED = 2.0  # Seconds after their first failed call.
+from hoistmoor.core.relay import reading
+
+PAUSE = 0.1  # Seconds before a topic that failed waits for the others.
 # Seconds after which a topic is tried though the store was not heard again.
 LONGEST_HOLD = 10.0
 
@@ -24,13 +18,13 @@
     until it is heard.
 
     Attributes:
-        longest_backoff: Seconds between two tries of that topic, at most.
+        backoff: Pauses between two tries of that topic.
     """
 
     def __init__(self) -> None:
-        self.longest_backoff = LONGEST_BACKOFF
+        self.backoff = reading.EAGER
         self._heard = asyncio.Event()
-        self._backoff = FIRST_BACKOFF
+        self._next_pause = 0.0
 
     @property
     def is_heard(self) -> bool:
@@ -39,7 +33,7 @@
 
     def note_heard(self) -> None:
         """Notes that a call was answered."""
-        self._backoff = FIRST_BACKOFF
+        self._next_pause = 0.0
         self._heard.set()
 
     def note_lost(self) -> None:
@@ -48,12 +42,10 @@
 
     async def back_off(self) -> None:
         """Waits until the topic that is tried should be tried again."""
-        wait = self._backoff
-        if self.longest_backoff == RELAXED_BACKOFF:
-            wait = max(wait, FIRST_RELAXED)
-        wait = min(self.longest_backoff, wait)
-        self._backoff = min(self.longest_backoff, 2 * wait)
-        await asyncio.sleep(wait)
+        pause = max(self._next_pause, self.backoff.first)
+        pause = min(pause, self.backoff.longest)
+        self._next_pause = 2.0 * pause
+        await asyncio.sleep(pause)
 
     async def wait_until_heard(self) -> None:
         """Waits until other calls than that one should be made."""
--- a/tests/core/relay/test_relay_reading.py
+++ b/tests/core/relay/test_relay_reading.py
@@ -100,3 +100,24 @@
         name, knows_hosts=knows_hosts, was_read=was_read, alone_for=alone_for
     )
     assertions.assert_that(found, matchers.Is(expected))
+
+
+@pytest.mark.parametrize(
+    ("knows_hosts", "is_answered", "is_first", "expected"),
+    [
+        (False, False, False, reading.ALONE),
+        (True, True, False, reading.RELAXED),
+        (True, True, True, reading.EAGER),
+        (True, False, False, reading.EAGER),
+    ],
+)
+def test_how_often_a_store_that_is_away_is_tried(
+    knows_hosts: bool,
+    is_answered: bool,
+    is_first: bool,
+    expected: reading.Backoff,
+) -> None:
+    found = reading.backoff_of(
+        knows_hosts=knows_hosts, is_answered=is_answered, is_first=is_first
+    )
+    assertions.assert_that(found, matchers.Is(expected))
