--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/mirror.py
@@ -176,8 +176,8 @@
 
         Two hosts of each failure domain do, and of those that stand first in
         theirs the first two: where a source has lost the store alone, all
-        others find one of these current a moment later. 195 hosts then make
-        a tenth of the calls (a source cut off the store, in virtual time).
+        others find one of these current a moment later. 195 hosts make 255
+        calls instead of 265 by it in an outage of 1.3 s, in virtual time.
         """
         near = [host.name for host in self._ranked(self.zone)]
         place = near.index(self.own) if self.own in near else len(near)
