Sort the relay and its decisions into packages by subject

Change: moves and imports only; no line of a decision changed. core/relay is servers, placement, answers, versions, beliefs, course; relay is front, store, peers, versions. Tests mirror it.

--- a/benchmarks/capacity/tree.py
+++ b/benchmarks/capacity/tree.py
@@ -14,21 +14,21 @@
 import time
 
 from benchmarks.capacity import parts
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import freshness
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import outstanding
-from hoistmoor.core.relay import router as router_lib
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
-from hoistmoor.relay import follower as follower_lib
-from hoistmoor.relay import peer_codec
-from hoistmoor.relay import peers
 from hoistmoor.relay import state as state_lib
-from hoistmoor.relay import store_gate
+from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.peers import peers
+from hoistmoor.relay.store import follower as follower_lib
+from hoistmoor.relay.store import store_gate
 
 ENGINES = (45, 300, 1000)
 ASKING = (17, 51)  # Hosts that ask one source, today and at size.
--- a/src/hoistmoor/core/relay/delays.py
+++ b/src/hoistmoor/core/relay/answers/delays.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from hoistmoor.core.relay import partition
+from hoistmoor.core.relay.placement import partition
 
 STEP = 0.15  # Weight of the newest answer; a burst shows within ten.
 HALF_LIFE = 4.0  # Seconds after which an old delay counts half.
--- a/src/hoistmoor/core/relay/mirror.py
+++ b/src/hoistmoor/core/relay/beliefs/mirror.py
@@ -18,7 +18,7 @@
 import attrs
 import xxhash
 
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import topics
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/hoistmoor/core/relay/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -12,14 +12,14 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import cascade
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import messages
+from hoistmoor.core.relay.answers import cascade
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.course import messages
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import fleet
-    from hoistmoor.core.relay import requests
-    from hoistmoor.core.relay import router as router_lib
+    from hoistmoor.core.relay.course import requests
+    from hoistmoor.core.relay.placement import router as router_lib
+    from hoistmoor.core.relay.servers import fleet
 
 _State = outcomes.ExchangeState
 
--- a/src/hoistmoor/core/relay/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -6,8 +6,8 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import fleet
-from hoistmoor.core.relay import partition
+from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.servers import fleet
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/requests.py
+++ b/src/hoistmoor/core/relay/course/requests.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from hoistmoor.core.relay import configuration
+from hoistmoor.core.relay.beliefs import configuration
 
 # A generated token costs an engine about as much as ten tokens of a prompt:
 # these are read many at a time, a generated one takes a step of its own.
--- a/src/hoistmoor/core/relay/partition.py
+++ b/src/hoistmoor/core/relay/placement/partition.py
@@ -16,7 +16,7 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import fleet
+    from hoistmoor.core.relay.servers import fleet
 
 LONG_FACTOR = 4.0  # Times the mean length that make a prompt a long one.
 LENGTH_STEP = 0.02  # Weight of the newest prompt in the mean length.
--- a/src/hoistmoor/core/relay/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -19,8 +19,8 @@
 from hoistmoor.core.routing import hashing
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import fleet
-    from hoistmoor.core.relay import requests
+    from hoistmoor.core.relay.course import requests
+    from hoistmoor.core.relay.servers import fleet
 
 FAR_BIAS = 0.1  # Load, in shares of a server, that a near server may have more.
 # Times as much work that an engine at the far end of the line seems to have.
--- a/src/hoistmoor/core/relay/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -10,17 +10,17 @@
 
 import attrs
 
-from hoistmoor.core.relay import budget
-from hoistmoor.core.relay import delays as delays_lib
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import pace as pace_lib
-from hoistmoor.core.relay import partition as partition_lib
-from hoistmoor.core.relay import placement
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.answers import delays as delays_lib
+from hoistmoor.core.relay.answers import pace as pace_lib
+from hoistmoor.core.relay.course import budget
+from hoistmoor.core.relay.placement import partition as partition_lib
+from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import messages
-    from hoistmoor.core.relay import requests
+    from hoistmoor.core.relay.course import messages
+    from hoistmoor.core.relay.course import requests
     from hoistmoor.core.routing import hashing
 
 
--- a/src/hoistmoor/core/relay/urgency.py
+++ b/src/hoistmoor/core/relay/placement/urgency.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import requests
+    from hoistmoor.core.relay.course import requests
 
 FIRST, LAST = 0, 9  # Ranks that engines know; 0 is begun first.
 # Tokens of a prompt up to which a large model's run has the rank after all
--- a/src/hoistmoor/core/relay/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -13,7 +13,7 @@
 import attrs
 import xxhash
 
-from hoistmoor.core.relay import evidence as evidence_lib
+from hoistmoor.core.relay.versions import evidence as evidence_lib
 
 TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
 SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -7,12 +7,12 @@
 import orjson
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import fleet
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import topics
+    from hoistmoor.core.relay.beliefs import topics
 
 _CONFIGURATION_KEY = "config"
 _ROLLOUT_PREFIX = "rollout/"
--- a/src/hoistmoor/platform/main.py
+++ b/src/hoistmoor/platform/main.py
@@ -15,7 +15,7 @@
 from hoistmoor.platform import settings as settings_lib
 from hoistmoor.platform import store
 from hoistmoor.relay import application
-from hoistmoor.relay import ports
+from hoistmoor.relay.store import ports
 
 if TYPE_CHECKING:
     import aiohttp
--- a/src/hoistmoor/platform/names.py
+++ b/src/hoistmoor/platform/names.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hoistmoor.relay import header_names
+from hoistmoor.relay.front import header_names
 
 # The server at the address is another one than the request names.
 NOT_RUN_STATUSES = frozenset({421})
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -10,8 +10,8 @@
 
 from hoistmoor.clients import replies
 from hoistmoor.core import errors
-from hoistmoor.core.relay import topics
-from hoistmoor.relay import ports
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.relay.store import ports
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -14,25 +14,25 @@
 
 from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import sessions
-from hoistmoor.core.relay import freshness
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import outstanding
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.routing import hashing
-from hoistmoor.relay import admission
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
-from hoistmoor.relay import follower
-from hoistmoor.relay import front as front_lib
-from hoistmoor.relay import lease_watch
-from hoistmoor.relay import listeners
-from hoistmoor.relay import peer_client
-from hoistmoor.relay import peers
-from hoistmoor.relay import relay_task
-from hoistmoor.relay import rollout_task
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
-from hoistmoor.relay import store_gate
+from hoistmoor.relay.front import admission
+from hoistmoor.relay.front import front as front_lib
+from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.peers import peer_client
+from hoistmoor.relay.peers import peers
+from hoistmoor.relay.store import follower
+from hoistmoor.relay.store import lease_watch
+from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import store_gate
+from hoistmoor.relay.versions import rollout_task
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
 
@@ -41,8 +41,8 @@
 
     import aiohttp
 
-    from hoistmoor.relay import ports
     from hoistmoor.relay import settings as settings_lib
+    from hoistmoor.relay.store import ports
 
 # Seconds from the stop signal in which requests are still taken: the balancer
 # asks once a second and needs two refusals.
--- a/src/hoistmoor/relay/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -9,11 +9,11 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import requests
-from hoistmoor.relay import header_names
+from hoistmoor.core.relay.course import requests
+from hoistmoor.relay.front import header_names
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import configuration as configuration_lib
+    from hoistmoor.core.relay.beliefs import configuration as configuration_lib
     from hoistmoor.core.routing import hashing
     from hoistmoor.relay import state as state_lib
 
--- a/src/hoistmoor/relay/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -6,8 +6,8 @@
 
 from hoistmoor.clients import exchange as exchange_lib
 from hoistmoor.core import outcomes
-from hoistmoor.core.relay import messages
-from hoistmoor.core.relay import pace
+from hoistmoor.core.relay.answers import pace
+from hoistmoor.core.relay.course import messages
 
 _State = outcomes.ExchangeState
 
--- a/src/hoistmoor/relay/caller_answer.py
+++ b/src/hoistmoor/relay/front/caller_answer.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from hoistmoor.core import outcomes
-from hoistmoor.relay import forwarding
+from hoistmoor.relay.front import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/hoistmoor/relay/forwarding.py
+++ b/src/hoistmoor/relay/front/forwarding.py
@@ -6,15 +6,15 @@
 
 from multidict import CIMultiDict
 
-from hoistmoor.core.relay import cascade
-from hoistmoor.core.relay import urgency
-from hoistmoor.relay import header_names
+from hoistmoor.core.relay.answers import cascade
+from hoistmoor.core.relay.placement import urgency
+from hoistmoor.relay.front import header_names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from hoistmoor.core.relay import messages
-    from hoistmoor.core.relay import requests
+    from hoistmoor.core.relay.course import messages
+    from hoistmoor.core.relay.course import requests
 
 _MS = 1000.0
 DEADLINE_SLACK = 0.01  # Seconds kept back, for the answer's way to here.
--- a/src/hoistmoor/relay/front.py
+++ b/src/hoistmoor/relay/front/front.py
@@ -9,10 +9,10 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import retry_after
-from hoistmoor.relay import admission as admission_lib
-from hoistmoor.relay import caller_answer
-from hoistmoor.relay import relay_task
+from hoistmoor.core.relay.course import retry_after
+from hoistmoor.relay.front import admission as admission_lib
+from hoistmoor.relay.front import caller_answer
+from hoistmoor.relay.front import relay_task
 
 if TYPE_CHECKING:
     from hoistmoor.core.routing import hashing
--- a/src/hoistmoor/relay/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from hoistmoor.core.relay import fleet
-from hoistmoor.core.relay import requests
+from hoistmoor.core.relay.course import requests
+from hoistmoor.core.relay.servers import fleet
 
 # Of one connection only (RFC 9110, 7.6.1), or set anew for each.
 HOP_BY_HOP = frozenset(
--- a/src/hoistmoor/relay/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -11,22 +11,22 @@
 from hoistmoor.clients import exchange as exchange_lib
 from hoistmoor.clients import exchange_errors
 from hoistmoor.core import outcomes
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import machine as machine_lib
-from hoistmoor.core.relay import messages
-from hoistmoor.core.relay import pace
-from hoistmoor.core.relay import streams
-from hoistmoor.relay import attempt as attempt_lib
-from hoistmoor.relay import forwarding
-from hoistmoor.relay import header_names
+from hoistmoor.core.relay.answers import pace
+from hoistmoor.core.relay.answers import streams
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.course import machine as machine_lib
+from hoistmoor.core.relay.course import messages
+from hoistmoor.relay.front import attempt as attempt_lib
+from hoistmoor.relay.front import forwarding
+from hoistmoor.relay.front import header_names
 
 if TYPE_CHECKING:
     from aiohttp import web
 
-    from hoistmoor.core.relay import requests
-    from hoistmoor.relay import admission
-    from hoistmoor.relay import caller_answer
+    from hoistmoor.core.relay.course import requests
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.front import admission
+    from hoistmoor.relay.front import caller_answer
 
 _State = outcomes.ExchangeState
 
--- a/src/hoistmoor/relay/peer_client.py
+++ b/src/hoistmoor/relay/peers/peer_client.py
@@ -7,10 +7,10 @@
 import aiohttp
 
 from hoistmoor.clients import replies
-from hoistmoor.relay import peer_codec
+from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import mirror
+    from hoistmoor.core.relay.beliefs import mirror
     from hoistmoor.relay import state as state_lib
 
 # Seconds for a connection, and for each part of an answer; hosts of one
--- a/src/hoistmoor/relay/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -12,9 +12,9 @@
 import cattrs
 import orjson
 
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.versions import evidence as evidence_lib
 
 # Values kept compressed: a host sends the same few to all that ask it. A
 # configuration of 50 routes has some 20 KB, and links carry 0.6 to 1.2 MB/s.
--- a/src/hoistmoor/relay/peers.py
+++ b/src/hoistmoor/relay/peers/peers.py
@@ -18,17 +18,17 @@
 from aiohttp import web
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import reading
-from hoistmoor.relay import follower as follower_lib
-from hoistmoor.relay import peer_codec
-from hoistmoor.relay import ports
-from hoistmoor.relay import store_gate
+from hoistmoor.core.relay.beliefs import reading
+from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.store import follower as follower_lib
+from hoistmoor.relay.store import ports
+from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import mirror
-    from hoistmoor.core.relay import topics
-    from hoistmoor.relay import peer_client
+    from hoistmoor.core.relay.beliefs import mirror
+    from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.peers import peer_client
 
 # Seconds in which a start waits for the list of hosts; after it the store may
 # be away, and the configuration is tried.
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from hoistmoor.core.relay import configuration as configuration_lib
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import freshness
-from hoistmoor.core.relay import outstanding as outstanding_lib
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.beliefs import configuration as configuration_lib
+from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import outstanding as outstanding_lib
+from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
 
--- a/src/hoistmoor/relay/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -8,13 +8,13 @@
 import attrs
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import mirror as mirror_lib
-from hoistmoor.core.relay import topics
-from hoistmoor.relay import store_gate
+from hoistmoor.core.relay.beliefs import mirror as mirror_lib
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
-    from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.store import ports
 
 
 @attrs.frozen
--- a/src/hoistmoor/relay/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -5,17 +5,17 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import rollouts
-from hoistmoor.relay import rollout_codec
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.relay.versions import rollout_codec
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import configuration
-    from hoistmoor.core.relay import topics
-    from hoistmoor.relay import follower
-    from hoistmoor.relay import ports
+    from hoistmoor.core.relay.beliefs import configuration
+    from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.store import follower
+    from hoistmoor.relay.store import ports
 
 
 class OperatorListener:
--- a/src/hoistmoor/relay/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from hoistmoor.relay import header_names
+from hoistmoor.relay.front import header_names
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay import configuration
-    from hoistmoor.core.relay import fleet
-    from hoistmoor.core.relay import rollouts
-    from hoistmoor.core.relay import topics
+    from hoistmoor.core.relay.beliefs import configuration
+    from hoistmoor.core.relay.beliefs import topics
+    from hoistmoor.core.relay.servers import fleet
+    from hoistmoor.core.relay.versions import rollouts
 
 
 class KeyedTopic(Protocol):
--- a/src/hoistmoor/relay/store_gate.py
+++ b/src/hoistmoor/relay/store/store_gate.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from hoistmoor.core.relay import reading
+from hoistmoor.core.relay.beliefs import reading
 
 PAUSE = 0.1  # Seconds before a topic that failed waits for the others.
 # Seconds after which a topic is tried though the store was not heard again.
--- a/src/hoistmoor/relay/rollout_codec.py
+++ b/src/hoistmoor/relay/versions/rollout_codec.py
@@ -6,8 +6,8 @@
 import cattrs
 import orjson
 
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import rollouts
 
 _CONVERTER = cattrs.Converter()
 
--- a/src/hoistmoor/relay/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -10,16 +10,16 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import rollouts
-from hoistmoor.relay import follower as follower_lib
-from hoistmoor.relay import listeners
-from hoistmoor.relay import rollout_codec
+from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.relay.store import follower as follower_lib
+from hoistmoor.relay.store import listeners
+from hoistmoor.relay.versions import rollout_codec
 
 if TYPE_CHECKING:
-    from hoistmoor.relay import ports
     from hoistmoor.relay import state as state_lib
-    from hoistmoor.relay import store_gate
+    from hoistmoor.relay.store import ports
+    from hoistmoor.relay.store import store_gate
 
 PERIOD = 1.0  # Seconds between two looks; a roll-back has five.
 
--- a/tests/core/relay/test_relay_delays.py
+++ b/tests/core/relay/answers/test_relay_delays.py
@@ -6,8 +6,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import delays as delays_lib
-from hoistmoor.core.relay import partition
+from hoistmoor.core.relay.answers import delays as delays_lib
+from hoistmoor.core.relay.placement import partition
 
 LARGE = partition.WorkClass(2, 3, True)
 SMALL = partition.WorkClass(0, 3, False)
--- a/tests/core/relay/test_relay_streams.py
+++ b/tests/core/relay/answers/test_relay_streams.py
@@ -10,7 +10,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import streams
+from hoistmoor.core.relay.answers import streams
 
 
 def event(number: int, end: bytes = b"\n\n") -> bytes:
--- a/tests/core/relay/test_relay_configuration.py
+++ b/tests/core/relay/beliefs/test_relay_configuration.py
@@ -8,8 +8,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import budget
-from hoistmoor.core.relay import freshness
+from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.course import budget
 
 NARROW = attrs.evolve(relay_parts.ROUTE, name="narrow", prefix="/look/deep/")
 
--- a/tests/core/relay/test_relay_mirror.py
+++ b/tests/core/relay/beliefs/test_relay_mirror.py
@@ -8,8 +8,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.beliefs import topics
 
 NAMES = [f"h{number}" for number in range(6)]
 
--- a/tests/core/relay/test_relay_reading.py
+++ b/tests/core/relay/beliefs/test_relay_reading.py
@@ -8,7 +8,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import reading
+from hoistmoor.core.relay.beliefs import reading
 
 
 @pytest.mark.parametrize(
--- a/tests/core/relay/conftest.py
+++ b/tests/core/relay/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 import relay_parts
 
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.routing import hashing
 
 
--- a/tests/core/relay/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import pytest
 import relay_parts
@@ -10,9 +12,11 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import machine as machine_lib
-from hoistmoor.core.relay import messages
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.course import machine as machine_lib
+from hoistmoor.core.relay.course import messages
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay.placement import router as router_lib
 
 State = outcomes.ExchangeState
 NOW = 100.0
--- a/tests/core/relay/test_relay_retry_after.py
+++ b/tests/core/relay/course/test_relay_retry_after.py
@@ -7,7 +7,7 @@
 from testtools import matchers
 
 from hoistmoor.core import refusals
-from hoistmoor.core.relay import retry_after
+from hoistmoor.core.relay.course import retry_after
 
 Reason = refusals.Reason
 MIDDLE = 0.5
--- a/tests/core/relay/test_relay_placement.py
+++ b/tests/core/relay/placement/test_relay_placement.py
@@ -7,13 +7,13 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import cascade
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import messages
-from hoistmoor.core.relay import pace
-from hoistmoor.core.relay import partition
-from hoistmoor.core.relay import placement
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.answers import cascade
+from hoistmoor.core.relay.answers import pace
+from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
--- a/tests/core/relay/test_relay_urgency.py
+++ b/tests/core/relay/placement/test_relay_urgency.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import pytest
 import relay_parts
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import requests
-from hoistmoor.core.relay import urgency
+from hoistmoor.core.relay.placement import urgency
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay.course import requests
 
 READ_PER_MS = 40.0  # Tokens of the smallest model that the engine reads.
 WEIGHTS = {"small": 1.0, "large": 10.0}
--- a/tests/core/relay/test_relay_outstanding.py
+++ b/tests/core/relay/servers/test_relay_outstanding.py
@@ -7,11 +7,11 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import outstanding as outstanding_lib
-from hoistmoor.core.relay import partition
-from hoistmoor.core.relay import placement
-from hoistmoor.core.relay import requests
+from hoistmoor.core.relay.course import requests
+from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
--- a/tests/core/relay/test_relay_rollouts.py
+++ b/tests/core/relay/versions/test_relay_rollouts.py
@@ -6,8 +6,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import rollouts
 
 Phase = rollouts.Phase
 ORDER = rollouts.Order("llm", "v2", 20.0, 7)
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -9,13 +9,13 @@
 from testtools import matchers
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import rollouts
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.versions import rollouts
 from hoistmoor.platform import codec as codec_lib
 from hoistmoor.platform import names
 from hoistmoor.platform import settings
-from hoistmoor.relay import header_names
+from hoistmoor.relay.front import header_names
 
 ROUTE = {
     "name": "r-1",
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -16,8 +16,8 @@
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
-from hoistmoor.relay import relay_task
 from hoistmoor.relay import settings as settings_lib
+from hoistmoor.relay.front import relay_task
 
 if TYPE_CHECKING:
     from hoistmoor.relay import state as state_lib
--- a/tests/relay/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -13,7 +13,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
     from conftest import Backend
--- a/tests/relay/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -9,8 +9,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay import topics
-from hoistmoor.relay import peer_codec
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.relay.peers import peer_codec
 
 
 def answer(value: bytes | None) -> peer_codec.CopyAnswer:
--- a/tests/relay/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -15,22 +15,22 @@
 from testtools import matchers
 
 from hoistmoor.clients import sessions
-from hoistmoor.core.relay import evidence as evidence_lib
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import reading
-from hoistmoor.core.relay import rollouts
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.beliefs import reading
+from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import rollouts
 from hoistmoor.relay import application
-from hoistmoor.relay import peer_client
-from hoistmoor.relay import relay_task
-from hoistmoor.relay import rollout_codec
 from hoistmoor.relay import settings as settings_lib
+from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.peers import peer_client
+from hoistmoor.relay.versions import rollout_codec
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     import aiohttp
 
-    from hoistmoor.core.relay import topics
+    from hoistmoor.core.relay.beliefs import topics
 
 PATIENCE = 20.0  # Seconds; only a hang of a busy machine comes near.
 
--- a/tests/relay/test_relay_tree_stateful.py
+++ b/tests/relay/peers/test_relay_tree_stateful.py
@@ -20,14 +20,14 @@
 import relay_platform
 import relay_states
 
-from hoistmoor.core.relay import mirror
-from hoistmoor.core.relay import topics
-from hoistmoor.relay import follower
-from hoistmoor.relay import listeners
-from hoistmoor.relay import peer_client
-from hoistmoor.relay import peer_codec
-from hoistmoor.relay import peers
-from hoistmoor.relay import store_gate
+from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.relay.peers import peer_client
+from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.peers import peers
+from hoistmoor.relay.store import follower
+from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import store_gate
 
 HOSTS = (0, 1, 2)  # Each asks the one before it; the first reads the store.
 FOREVER = 1e6
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -22,18 +22,18 @@
 
 from hoistmoor.core import errors
 from hoistmoor.relay import application
-from hoistmoor.relay import peer_client
-from hoistmoor.relay import peer_codec
-from hoistmoor.relay import peers
 from hoistmoor.relay import settings as settings_lib
+from hoistmoor.relay.peers import peer_client
+from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.peers import peers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     import pytest
 
-    from hoistmoor.core.relay import mirror
-    from hoistmoor.core.relay import topics as topics_lib
+    from hoistmoor.core.relay.beliefs import mirror
+    from hoistmoor.core.relay.beliefs import topics as topics_lib
 
 LATENCY = 0.003  # Seconds that a small message takes.
 CHUNK = 16384  # Bytes sent at once; transfers on one link take turns.
--- a/tests/relay/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -16,14 +16,14 @@
 from testtools import matchers
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import fleet as fleet_lib
-from hoistmoor.core.relay import topics
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.relay import event_log
-from hoistmoor.relay import follower
-from hoistmoor.relay import lease_watch
-from hoistmoor.relay import listeners
 from hoistmoor.relay import state as state_lib
-from hoistmoor.relay import store_gate
+from hoistmoor.relay.store import follower
+from hoistmoor.relay.store import lease_watch
+from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/tests/relay/test_relay_store_gate.py
+++ b/tests/relay/store/test_relay_store_gate.py
@@ -15,9 +15,9 @@
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
-from hoistmoor.relay import relay_task
 from hoistmoor.relay import settings as settings_lib
-from hoistmoor.relay import store_gate
+from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
--- a/tests/relay_parts.py
+++ b/tests/relay_parts.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import fleet
-from hoistmoor.core.relay import requests
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.course import requests
+from hoistmoor.core.relay.servers import fleet
 
 Kind = configuration.RouteKind
 
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -10,12 +10,12 @@
 import attrs
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay import configuration
-from hoistmoor.core.relay import fleet
-from hoistmoor.core.relay import rollouts
-from hoistmoor.core.relay import topics
-from hoistmoor.relay import header_names
-from hoistmoor.relay import ports
+from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.relay.front import header_names
+from hoistmoor.relay.store import ports
 
 POLL = 0.005  # Seconds between two looks of a held read.
 
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from hoistmoor.core.relay import freshness
-from hoistmoor.core.relay import outstanding
-from hoistmoor.core.relay import router as router_lib
+from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
