Read a record of the store whole or not at all

Cause: an entry's fields were taken as they came. An order or configuration that could not be read ended the batch that held it.

Ruled out: cattrs for these records; it turns 5 into "5" for a text, and the wire's names would then stand in attrs classes. A table of checks by field says what may stand there and names the field that does not fit.

Change: platform/fields.py holds the table; what does not fit is the typed error, is logged once a change with key, offset and field, and is counted. It touches neither the other records nor what the server itself said before; it is not passed on to other hosts, and the server's next heartbeat is news to them. The same for orders, configurations, phases and hosts' entries. Keys that are no text, and values that are no base64, hide nothing either.

--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -10,8 +10,11 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.servers import fleet
 from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.platform import fields as fields_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from hoistmoor.core.relay.beliefs import topics
 
 _CONFIGURATION_KEY = "config"
@@ -41,13 +44,17 @@
         """Returns the configuration, if the record holds one."""
         if record.key != _CONFIGURATION_KEY:
             return None
-        return _configuration(_load(record))
+        fields = _load(record)
+        try:
+            return _configuration(fields)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise _unreadable(record, error) from error
 
     def order(self, record: topics.Record) -> rollouts.Order | None:
         """Returns the roll-out order, if the record holds one."""
         if not record.key.startswith(_ROLLOUT_PREFIX):
             return None
-        fields = _load(record)
+        fields = _load(record, fields_lib.ORDER)
         return rollouts.Order(
             service=fields["service"],
             target=fields["target"],  # A version, not an address.
@@ -57,23 +64,18 @@
 
     def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns a backend server's entry."""
-        fields = _load(record)
-        try:
-            return fleet.ServerEntry(
-                server_id=record.key,
-                service=fields["service"],
-                address=fields["address"],
-                zone=fields.get("zone", ""),
-                version=fields.get("version", ""),
-                slots=fields.get("slots", 1),
-                is_leaving=fields.get("state", "ready") != "ready",
-                warm_in=fields.get("warmup_left_ms", 0) / _MS,
-                models=tuple(
-                    model["name"] for model in fields.get("models") or ()
-                ),
-            )
-        except (KeyError, TypeError) as error:
-            raise _unreadable(record, error) from error
+        fields = _load(record, fields_lib.SERVER)
+        return fleet.ServerEntry(
+            server_id=record.key,
+            service=fields["service"],
+            address=fields["address"],
+            zone=fields["zone"],
+            version=fields["version"],
+            slots=fields["slots"],
+            is_leaving=fields["state"] == "draining",
+            warm_in=fields["warmup_left_ms"] / _MS,
+            models=tuple(model["name"] for model in fields.get("models") or ()),
+        )
 
     def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
         """Returns key and value of a roll-out's status."""
@@ -85,19 +87,32 @@
         return _ROLLOUT_PREFIX + record.service, orjson.dumps(fields)
 
 
-def _load(record: topics.Record) -> dict[str, Any]:
+def _load(
+    record: topics.Record,
+    table: Mapping[str, fields_lib.Field] | None = None,
+) -> dict[str, Any]:
+    """Returns the fields of a record, checked.
+
+    Args:
+        record: The record.
+        table: What may stand in its fields; None to check none.
+
+    Raises:
+        CodecError: It is no object, or a field does not fit.
+    """
     try:
         fields = orjson.loads(record.value or b"")
-    except orjson.JSONDecodeError as error:
+        if not isinstance(fields, dict):
+            raise fields_lib.FieldError("the record is no object")
+        fields_lib.check(fields, table or {})
+    except ValueError as error:  # Of JSON, or of a field.
         raise _unreadable(record, error) from error
-    if not isinstance(fields, dict):
-        raise _unreadable(record, TypeError(type(fields)))
     return fields
 
 
 def _unreadable(record: topics.Record, error: Exception) -> errors.CodecError:
     return errors.CodecError(
-        f"record {record.offset} of {record.key} cannot be read: {error!r}",
+        f"record {record.offset} of {record.key} cannot be read: {error}",
         "Look at the record in the store.",
     )
 
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import binascii
 import struct
 from typing import Any, TYPE_CHECKING
 
@@ -137,11 +138,19 @@
     value = fields.get("value")
     return topics.Record(
         fields["key"],
-        base64.b64decode(value) if value else None,
+        _from_base64(value) if value else None,
         fields["offset"],
     )
 
 
+def _from_base64(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except binascii.Error:
+        # Left to the decoder of the record, which says what is wrong with it.
+        return text.encode()
+
+
 def _records(data: bytes, offset: int) -> Iterator[topics.Record]:
     at = 0
     while at < len(data):
@@ -149,10 +158,10 @@
         at += _LENGTH.size
         content = data[at : at + length]
         at += length
-        key_end = 1 + content[0]
-        yield topics.Record(
-            content[1:key_end].decode(), content[key_end:] or None, offset
-        )
+        key_end = 1 + (content[0] if content else 0)
+        # A key of another writer may be no text; it must not hide the rest.
+        key = content[1:key_end].decode(errors="backslashreplace")
+        yield topics.Record(key, content[key_end:] or None, offset)
         offset += 1
 
 
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -12,9 +12,11 @@
 import cattrs
 import orjson
 
+from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.utils import addresses
 
 # Values kept compressed: a host sends the same few to all that ask it. A
 # configuration of 50 routes has some 20 KB, and links carry 0.6 to 1.2 MB/s.
@@ -124,7 +126,12 @@
 
 def decode_host(data: bytes) -> mirror.Host:
     """Returns a host's entry; raises ``ValueError`` for other bytes."""
-    return _decode(data, mirror.Host)
+    host = _decode(data, mirror.Host)
+    try:
+        addresses.parse(host.address)
+    except errors.ConfigurationError as error:
+        raise ValueError(f"not a Host: {error}") from error
+    return host
 
 
 def _decode(data: bytes, kind: type[_T]) -> _T:
--- a/src/hoistmoor/relay/peers/peers.py
+++ b/src/hoistmoor/relay/peers/peers.py
@@ -60,8 +60,11 @@
             try:
                 self._sources.put(peer_codec.decode_host(record.value))
             except ValueError as error:
-                self._state.log.write(
-                    "host_unreadable", key=record.key, detail=str(error)
+                self._state.believe(
+                    "host_unreadable",
+                    key=record.key,
+                    offset=record.offset,
+                    detail=str(error),
                 )
         return update.batch.records
 
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -39,7 +39,10 @@
     """Takes what was read."""
 
     def __call__(self, update: Update) -> tuple[topics.Record, ...]:
-        """Takes one update; returns the records that others should have."""
+        """Takes one update; returns the records that others should have.
+
+        Of a snapshot these are all that say anything, of changes the news.
+        """
 
 
 class TopicFollower:
@@ -199,8 +202,7 @@
             self._regained_at, self._state.clock() - update.after_outage
         )
         self.next_offset = batch.next_offset
-        news = self._listener(update)
-        kept = batch.records if batch.is_snapshot else news
+        kept = self._listener(update)
         self.mirror.take(attrs.evolve(batch, records=kept))
         self._state.topics_read.add(self.name)
         self.known.set()
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -18,6 +18,21 @@
     from hoistmoor.relay.store import ports
 
 
+def _note_unreadable(
+    state: state_lib.RelayState,
+    kind: str,
+    record: topics.Record,
+    error: Exception,
+) -> None:
+    """Logs and counts a record that says nothing that can be used."""
+    state.believe(
+        f"{kind}_unreadable",
+        key=record.key,
+        offset=record.offset,
+        detail=str(error),
+    )
+
+
 class OperatorListener:
     """Takes configurations and roll-out orders."""
 
@@ -28,7 +43,10 @@
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; each proves the configuration current."""
         for record in update.batch.records:
-            self._take(record)
+            try:
+                self._take(record)
+            except errors.CodecError as error:
+                _note_unreadable(self._state, "operator", record, error)
         if self._state.configuration is not None:
             self._state.lease.prove(update.current_at)
         return update.batch.records
@@ -72,26 +90,39 @@
     def __init__(self, state: state_lib.RelayState, codec: ports.Codec) -> None:
         self._state = state
         self._codec = codec
+        # Keys whose newest record says nothing, with its offset. What follows
+        # there is news to others, who may have that record from here.
+        self._unreadable: dict[str, int] = {}
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; a mere heartbeat is no news to others."""
+        batch = update.batch
         now = self._state.clock()
-        news = []
         # A server that lives is listed again by then. It is counted from the
         # store's return: an entry that goes later was taken away for good.
         doubt_ends = now - update.after_outage + fleet_lib.LAPSE_GRACE
-        for record in update.batch.records:
-            if record.value is None:
-                self._remove(record.key, doubt_ends)
-                news.append(record)
-            elif self._put(record):
-                news.append(record)
-        if update.batch.is_snapshot:
-            self._remove_unlisted(update.batch, doubt_ends)
+        news = [
+            record for record in batch.records if self._take(record, doubt_ends)
+        ]
+        if batch.is_snapshot:
+            self._remove_unlisted(batch, doubt_ends)
+            news = [
+                record
+                for record in batch.records
+                if record.key not in self._unreadable
+            ]
         for server_id in self._fleet.drop_lapsed(now):
             self._state.believe("server_gone", server=server_id, why="lapsed")
         return tuple(news)
 
+    def _take(self, record: topics.Record, doubt_ends: float) -> bool:
+        """Returns whether the record says something new."""
+        if record.value is None:
+            self._unreadable.pop(record.key, None)
+            self._remove(record.key, doubt_ends)
+            return True
+        return self._put(record)
+
     @property
     def _fleet(self) -> fleet_lib.Fleet:
         return self._state.router.fleet
@@ -101,12 +132,14 @@
         try:
             entry = self._codec.server(record)
         except errors.CodecError as error:
-            self._state.log.write(
-                "server_unreadable", server=record.key, detail=error.problem
-            )
+            # Another writer's: what the server itself has said still holds.
+            if self._unreadable.get(record.key) != record.offset:
+                _note_unreadable(self._state, "server", record, error)
+            self._unreadable[record.key] = record.offset
             return False
+        was_unreadable = self._unreadable.pop(record.key, None) is not None
         if not self._fleet.put(entry):
-            return False
+            return was_unreadable
         self._state.believe(
             "server",
             server=entry.server_id,
@@ -143,7 +176,11 @@
         for record in update.batch.records:
             if record.value is None:
                 continue
-            phase = rollout_codec.decode_phase(record.value)
+            try:
+                phase = rollout_codec.decode_phase(record.value)
+            except ValueError as error:
+                _note_unreadable(self._state, "phase", record, error)
+                continue
             if self._state.router.rollouts.take_phase(phase):
                 self._state.believe(
                     "rollout_phase",
@@ -176,7 +213,7 @@
             try:
                 report = rollout_codec.decode_report(record.value)
             except ValueError as error:
-                self._state.log.write("evidence_unreadable", detail=str(error))
+                _note_unreadable(self._state, "evidence", record, error)
                 continue
             self._heard[report.run_name] = self._state.clock()
             for evidence in report.evidence:
--- a/src/hoistmoor/relay/versions/rollout_codec.py
+++ b/src/hoistmoor/relay/versions/rollout_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 import attrs
 import cattrs
 import orjson
@@ -9,6 +11,8 @@
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import rollouts
 
+_T = TypeVar("_T")
+
 _CONVERTER = cattrs.Converter()
 
 
@@ -31,13 +35,17 @@
 
 
 def decode_phase(data: bytes) -> rollouts.PhaseRecord:
-    """Returns the phase that ``data`` holds."""
-    return _CONVERTER.structure(orjson.loads(data), rollouts.PhaseRecord)
+    """Returns the phase that ``data`` holds; raises ``ValueError``."""
+    return _decode(data, rollouts.PhaseRecord)
 
 
 def decode_report(data: bytes) -> EvidenceReport:
     """Returns the counts that ``data`` holds; raises ``ValueError``."""
+    return _decode(data, EvidenceReport)
+
+
+def _decode(data: bytes, kind: type[_T]) -> _T:
     try:
-        return _CONVERTER.structure(orjson.loads(data), EvidenceReport)
+        return _CONVERTER.structure(orjson.loads(data), kind)
     except (cattrs.BaseValidationError, TypeError, KeyError) as error:
-        raise ValueError(f"not a report: {error!r}") from error
+        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+
+import hypothesis
+from hypothesis import strategies
 import orjson
 import pytest
 import relay_parts
@@ -58,6 +62,17 @@
     "limits": {"max_body_bytes": 100, "idle_timeout_ms": 15000},
     "tenants": [{"name": "farm", "api_keys": ["k1", "k2"], "priority": 1}],
 }
+SERVER = {
+    "service": "a",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "models": [{"name": "m0", "version": 1}],
+}
 CODEC = codec_lib.PlatformCodec()
 
 
@@ -109,16 +124,7 @@
     ("state", "leaving"), [("ready", False), ("draining", True)]
 )
 def test_a_server_entry(state: str, leaving: bool) -> None:
-    fields = {
-        "service": "a",
-        "address": "10.0.0.1:80",
-        "zone": "z",
-        "version": "v1",
-        "slots": 64,
-        "state": state,
-        "warmup_left_ms": 500,
-        "models": [{"name": "m0", "version": 1}],
-    }
+    fields = {**SERVER, "state": state, "warmup_left_ms": 500}
     found = CODEC.server(record("i-1", fields))
     assertions.assert_that(found.server_id, matchers.Equals("i-1"))
     assertions.assert_that(found.is_leaving, matchers.Is(leaving))
@@ -132,6 +138,107 @@
         CODEC.server(topics.Record("i-1", value, 0))
 
 
+JUNK = (
+    [("slots", value) for value in ("16", None, 0, -1, 1.5, True, 1e12, [16])]
+    + [("version", value) for value in (["v1"], None, 3, "", "v\x00")]
+    + [("service", value) for value in (["a"], None, {}, "")]
+    + [("zone", value) for value in (7, None, "")]
+    + [
+        ("address", value)
+        for value in (
+            "10.0.0.1",
+            "10.0.0.1:",
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:8x",
+            "shop.example:80",
+            "10.0.0.256:80",
+            ["10.0.0.1:80"],
+            80,
+        )
+    ]
+    + [("state", value) for value in ("up", "READY", None, ["ready"], True)]
+    + [("warmup_left_ms", value) for value in ("5", None, -1, True, [])]
+    + [("sequence", value) for value in ("4", None, -1, 4.5, True)]
+    + [("models", value) for value in ("m0", ["m0"], [{}], [{"name": 1}])]
+)
+
+
+@pytest.mark.parametrize(("name", "value"), JUNK)
+def test_an_entry_with_a_field_of_another_type_names_no_server(
+    name: str, value: object
+) -> None:
+    with pytest.raises(errors.CodecError, match=name):
+        CODEC.server(record("i-1", {**SERVER, name: value}))
+
+
+@pytest.mark.parametrize("name", [name for name in SERVER if name != "models"])
+def test_an_entry_that_lacks_a_field_names_no_server(name: str) -> None:
+    fields = {key: value for key, value in SERVER.items() if key != name}
+    with pytest.raises(errors.CodecError, match=name):
+        CODEC.server(record("i-1", fields))
+
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(10**12), 10**12)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=4), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+@hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+@hypothesis.given(strategies.sampled_from(sorted(SERVER)), VALUES)
+def test_a_mutated_entry_is_read_as_written_or_not_at_all(
+    name: str, value: object
+) -> None:
+    try:
+        found = CODEC.server(record("i-1", {**SERVER, name: value}))
+    except errors.CodecError:
+        return
+    # What was taken has the types on which every choice of a server rests.
+    hash(found)
+    kinds = (found.version, found.zone, found.service, found.address)
+    assertions.assert_that(
+        {type(each) for each in kinds}, matchers.Equals({str})
+    )
+    assertions.assert_that(type(found.slots), matchers.Is(int))
+    assertions.assert_that(found.slots, matchers.GreaterThan(0))
+
+
+@hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+@hypothesis.given(strategies.binary(max_size=40), strategies.integers(0, 300))
+def test_torn_bytes_are_the_typed_error_or_the_entry(
+    noise: bytes, cut: int
+) -> None:
+    whole = orjson.dumps(SERVER)
+    for data in (noise, whole[:cut], whole[:cut] + noise + whole[cut:]):
+        for decode in (CODEC.server, CODEC.order, CODEC.configuration):
+            for key in ("i-1", "config", "rollout/a"):
+                with contextlib.suppress(errors.CodecError):
+                    decode(topics.Record(key, data, 0))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"service": 3}, {"target": ["v2"]}, {"target": ""}, {"duration_s": "12"}],
+)
+def test_an_order_with_a_field_of_another_type_is_an_error(
+    change: dict[str, object],
+) -> None:
+    fields = {"service": "a", "target": "v2", "duration_s": 12, **change}
+    with pytest.raises(errors.CodecError):
+        CODEC.order(record("rollout/a", fields))
+
+
 @pytest.mark.parametrize(
     ("phase", "state"),
     [
--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -5,6 +5,7 @@
 import math
 
 import attrs
+import orjson
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -62,3 +63,18 @@
 def test_other_bytes_are_a_value_error(data: bytes) -> None:
     with pytest.raises(ValueError, match=r"\w"):
         peer_codec.decode_answer(data)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"zone": "a", "address": "10.0.0.1:1"},
+        {"name": "h1", "zone": "a", "address": "nowhere"},
+        {"name": "h1", "zone": "a", "address": "10.0.0.1:1", "link": "wide"},
+        [],
+        7,
+    ],
+)
+def test_a_host_s_entry_that_names_no_host(fields: object) -> None:
+    with pytest.raises(ValueError, match="not a Host"):
+        peer_codec.decode_host(orjson.dumps(fields))
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -241,7 +241,7 @@
             zone=zone,
             listen="127.0.0.1:0",
             ready_listen="127.0.0.1:0",
-            peer_listen=f"{name}:1",
+            peer_listen="10.0.0.1:1",  # Questions go by the name.
             link=megabits,
         )
 
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -28,6 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from hoistmoor.core.relay.versions import rollouts
+
 
 @attrs.define
 class Rig:
@@ -222,6 +224,62 @@
     assertions.assert_that(written, matchers.Contains("server_unreadable"))
 
 
+async def test_an_unreadable_record_does_not_undo_what_a_server_said(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    for name in "ab":
+        await platform.publish(platform.servers, name, relay_parts.entry(name))
+    await servers.read_once()
+    await platform.servers.put("a", b"unknown")
+    await servers.read_once()
+    assertions.assert_that(known(rig), matchers.Equals(["a", "b"]))
+    # Nor in a snapshot, which others may have from here.
+    servers.next_offset = None
+    await servers.read_once()
+    assertions.assert_that(known(rig), matchers.Equals(["a", "b"]))
+    copy = servers.mirror.copy_from(None)
+    assert copy is not None
+    assertions.assert_that(
+        [each.key for each in copy.records], matchers.Equals(["b"])
+    )
+    # The server's next heartbeat is news to them.
+    await platform.publish(platform.servers, "a", relay_parts.entry("a"))
+    await servers.read_once()
+    copy = servers.mirror.copy_from(None)
+    assert copy is not None
+    assertions.assert_that(
+        sorted(each.key for each in copy.records), matchers.Equals(["a", "b"])
+    )
+    written = [each["event"] for each in rig.events()]
+    assertions.assert_that(
+        written.count("server_unreadable"), matchers.Equals(1)
+    )
+
+
+async def test_an_unreadable_order_hides_no_configuration(
+    rig: Rig, platform: relay_platform.MemoryPlatform
+) -> None:
+    class TornCodec(relay_platform.NamedCodec):
+        def order(self, record: topics.Record) -> rollouts.Order | None:
+            raise errors.CodecError("torn", "Look at it.")
+
+    codec = TornCodec(platform.codec.known)
+    listener = listeners.OperatorListener(rig.state, codec)
+    await platform.operator.put("rollout/a", b"torn")
+    await platform.publish(platform.operator, "config", relay_parts.in_force())
+    batch = await platform.operator.newest()
+    listener(follower.Update(batch, rig.clock.now, float("inf")))
+    assertions.assert_that(
+        rig.state.configuration, matchers.Not(matchers.Is(None))
+    )
+    assertions.assert_that(
+        [each["event"] for each in rig.events()],
+        matchers.Contains("operator_unreadable"),
+    )
+
+
 @attrs.define
 class HeldTopic(relay_platform.MemoryTopic):
     """A topic that holds reads back on the clock of the test."""
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -103,6 +103,8 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
         }
     )
     url = f"http://{store}/admin/put"
