Take another start of a server for another server

Cause: a server may start again under the id that it had. The fleet kept the state of the start before (load, health, rest, work under way), and any entry replaced the one that was known, however late it was read.

Ruled out: to compare sequences without the time of a start. A number that falls back is then a late entry or the first one of a new start, and the entry of a live server would be ignored.

Change: an entry has an identity, id and start. Another identity gets a fresh state; work told between hosts, servers that failed a request, the holder of a prompt and the place on the line of unlike requests go by identity. An entry of an older start, or an older one of the same start, changes nothing and is not passed on, also after the server went. Where servers tell their start, an entry without it is unreadable; deployments whose servers tell none are served as before.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -132,7 +132,7 @@
         if event.state is _State.ANSWERED:
             self._failed_versions |= {self.server.entry.version}
         can_deliver = event.state is _State.ANSWERED and not self._begun
-        self._excluded |= {self.server.entry.server_id}
+        self._excluded |= {self.server.entry.identity}
         self._detail = event.detail or f"status {event.status}"
         self._settle_for_small(event.state)
         if self._may_try_again(event.state, now):
--- a/src/hoistmoor/core/relay/placement/partition.py
+++ b/src/hoistmoor/core/relay/placement/partition.py
@@ -76,15 +76,15 @@
 def distances(
     work_class: WorkClass, ready: list[fleet.ServerState]
 ) -> dict[str, float]:
-    """Returns how far servers stand from a class, 0 to 1, by their ids."""
+    """Returns how far servers stand from a class, 0 to 1, by identity."""
     ordered = sorted(ready, key=_place)
     last = max(1, len(ordered) - 1)
     place = work_class.place
     return {
-        server.entry.server_id: abs(at / last - place)
+        server.entry.identity: abs(at / last - place)
         for at, server in enumerate(ordered)
     }
 
 
 def _place(server: fleet.ServerState) -> int:
-    return xxhash.xxh64_intdigest(server.entry.server_id.encode())
+    return xxhash.xxh64_intdigest(server.entry.identity.encode())
--- a/src/hoistmoor/core/relay/placement/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -98,7 +98,7 @@
         own = request.work(model)
         if server is holder:
             own -= cached
-        apart = 1.0 + APART * distances[server.entry.server_id]
+        apart = 1.0 + APART * distances[server.entry.identity]
         far = FAR_FACTOR if server.entry.zone != zone else 1.0
         return (waiting + own) * apart * far * max(1.0, server.health.pace)
 
@@ -116,7 +116,7 @@
 
     def key(server: fleet.ServerState) -> float:
         uniform = (draws.below(_DRAWS) + 1) / _DRAWS
-        return -math.log(uniform) / nearness[server.entry.server_id]
+        return -math.log(uniform) / nearness[server.entry.identity]
 
     return heapq.nsmallest(DRAWN, ready, key=key)
 
@@ -126,10 +126,10 @@
 ) -> fleet.ServerState:
     """Returns the server that has the parts of a prompt cached."""
     weights = tuple(
-        (each.entry.server_id, nearness[each.entry.server_id]) for each in ready
+        (each.entry.identity, nearness[each.entry.identity]) for each in ready
     )
     name = hashing.weighted_pick(key, weights)
-    return next(each for each in ready if each.entry.server_id == name)
+    return next(each for each in ready if each.entry.identity == name)
 
 
 def _cost(
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -122,7 +122,7 @@
             request: The request.
             model: Model to be asked for; empty for plain requests.
             work_class: Class of work that the attempt belongs to.
-            excluded: Ids of servers that must not be chosen.
+            excluded: Identities of servers that must not be chosen.
             failed: Versions that already failed this request.
             now: Steady time.
         """
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -28,6 +28,10 @@
 # that it looks the least busy to all hosts.
 UNREACHABLE_REST = 1.0
 LONGEST_UNREACHABLE_REST = 8.0
+# Servers that went whose last entries are kept, so that a heartbeat which is
+# read late does not list them again. Entries are read some seconds late at
+# most, and in that time no more than these go.
+MOST_REMOVED = 2000
 MAX_RESTING = 0.5  # Part of a service's servers that may rest as outliers.
 
 
@@ -36,7 +40,7 @@
     """What a backend server tells of itself in the store.
 
     Attributes:
-        server_id: New with each start of the server.
+        server_id: Its name; another start of it may have the same.
         service: The service that it belongs to.
         address: ``ip:port``; may be used again by another server.
         zone: Its failure domain.
@@ -45,6 +49,10 @@
         is_leaving: Whether it takes no new work.
         warm_in: Seconds for which it stays slow after its start.
         models: Models that it has loaded.
+        born: Unix time of its start, in milliseconds; None if it tells none.
+        sequence: Number of the entry, from its start on. It changes with
+            each heartbeat and tells nothing else.
+        identity: Stands for this start of the server and no other.
     """
 
     server_id: str
@@ -56,6 +64,25 @@
     is_leaving: bool = False
     warm_in: float = 0.0
     models: tuple[str, ...] = ()
+    born: int | None = None
+    sequence: int = attrs.field(default=0, eq=False)
+    identity: str = attrs.field(init=False)
+
+    @identity.default
+    def _(self) -> str:
+        if self.born is None:
+            return self.server_id
+        return f"{self.server_id}@{self.born}"
+
+    def is_older_than(self, other: ServerEntry) -> bool:
+        """Returns whether the server wrote it before another entry.
+
+        Without the time of its start nothing is certain: a number that falls
+        back may be a late entry or the first one of a new start.
+        """
+        if self.born is None or other.born is None:
+            return False
+        return (self.born, self.sequence) < (other.born, other.sequence)
 
 
 @attrs.frozen
@@ -140,6 +167,10 @@
         self.others_at = now
 
 
+def _is_same_server(known: ServerEntry, entry: ServerEntry) -> bool:
+    return (known.identity, known.service) == (entry.identity, entry.service)
+
+
 class Fleet:
     """All backend servers that are listed.
 
@@ -150,31 +181,55 @@
     def __init__(self) -> None:
         self.servers: dict[str, ServerState] = {}
         self._by_service: dict[str, dict[str, ServerState]] = {}
+        # Last entries of servers that went, oldest first.
+        self._removed: dict[str, ServerEntry] = {}
 
     def __iter__(self) -> Iterator[ServerState]:
         """Yields all servers."""
         return iter(tuple(self.servers.values()))
 
     def put(self, entry: ServerEntry) -> bool:
-        """Takes an entry; returns whether it changes what to do."""
+        """Takes an entry; returns whether it changes what to do.
+
+        Another start of a server is a new server, of which nothing is known
+        but its entry. What an older start wrote changes nothing, however late
+        it is read.
+        """
         known = self.servers.get(entry.server_id)
-        if known is None:
-            state = ServerState(entry)
-            self.servers[entry.server_id] = state
-            pool = self._by_service.setdefault(entry.service, {})
-            pool[entry.server_id] = state
+        newest = known.entry if known else self._removed.get(entry.server_id)
+        if newest is not None and entry.is_older_than(newest):
+            return False
+        if known is None or not _is_same_server(known.entry, entry):
+            self._replace(known, entry)
             return True
         changed = known.entry != entry or known.lapsed_until is not None
         known.entry = entry
         known.lapsed_until = None
         return changed
 
+    def _replace(self, known: ServerState | None, entry: ServerEntry) -> None:
+        if known is not None:
+            self._forget(known)
+        state = ServerState(entry)
+        self.servers[entry.server_id] = state
+        pool = self._by_service.setdefault(entry.service, {})
+        pool[entry.server_id] = state
+
+    def _forget(self, state: ServerState) -> None:
+        server_id = state.entry.server_id
+        del self.servers[server_id]
+        del self._by_service[state.entry.service][server_id]
+
     def remove(self, server_id: str) -> bool:
         """Forgets a server; returns whether it was known."""
-        state = self.servers.pop(server_id, None)
+        state = self.servers.get(server_id)
         if state is None:
             return False
-        del self._by_service[state.entry.service][server_id]
+        self._forget(state)
+        self._removed.pop(server_id, None)
+        self._removed[server_id] = state.entry
+        if len(self._removed) > MOST_REMOVED:
+            del self._removed[next(iter(self._removed))]
         return True
 
     def lapse(self, server_id: str, until: float) -> None:
@@ -189,17 +244,17 @@
             state.lapsed_until = until
 
     def own_work(self) -> dict[str, float]:
-        """Returns this host's work by server, where there is any."""
+        """Returns this host's work by server's identity, if it has any."""
         return {
-            server_id: round(each.work)
-            for server_id, each in self.servers.items()
+            each.entry.identity: round(each.work)
+            for each in self.servers.values()
             if each.work > 0.0
         }
 
     def take_others_work(self, work: dict[str, float], now: float) -> None:
-        """Takes the work of all other hosts, by server."""
-        for server_id, each in self.servers.items():
-            each.others_work = work.get(server_id, 0.0)
+        """Takes the work of all other hosts, by server's identity."""
+        for each in self.servers.values():
+            each.others_work = work.get(each.entry.identity, 0.0)
             each.others_work_until = now + WORK_LIFE
 
     def drop_lapsed(self, now: float) -> list[str]:
@@ -227,7 +282,7 @@
         Args:
             service: Their service.
             versions: Versions that they may have.
-            excluded: Ids of servers that must not be chosen.
+            excluded: Identities of servers that must not be chosen.
             now: Steady time.
         """
         pool = [
@@ -235,7 +290,7 @@
             for each in self._by_service.get(service, {}).values()
             if not each.is_gone(now)
             and each.entry.version in versions
-            and each.entry.server_id not in excluded
+            and each.entry.identity not in excluded
         ]
         for each in pool:
             each.health.wake(now)
--- a/src/hoistmoor/core/relay/servers/outstanding.py
+++ b/src/hoistmoor/core/relay/servers/outstanding.py
@@ -30,7 +30,7 @@
 
 
 class OutstandingWork:
-    """What other hosts told this one, by the backend server's id."""
+    """What other hosts told this one, by the backend server's identity."""
 
     def __init__(self) -> None:
         self._reports: dict[str, _Report] = {}
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -75,6 +75,8 @@
             is_leaving=fields["state"] == "draining",
             warm_in=fields["warmup_left_ms"] / _MS,
             models=tuple(model["name"] for model in fields.get("models") or ()),
+            born=fields.get("born"),
+            sequence=fields["sequence"],
         )
 
     def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
--- a/src/hoistmoor/platform/fields.py
+++ b/src/hoistmoor/platform/fields.py
@@ -117,6 +117,8 @@
     "state": _one_of("ready", "draining"),
     "warmup_left_ms": AMOUNT,
     "sequence": WHOLE,
+    # Unix milliseconds. Deployments whose servers tell none are still served.
+    "born": Field(is_whole, "a whole number", is_required=False),
     "models": Field(_is_models, "a list of models", is_required=False),
 }
 ORDER = {"service": TEXT, "target": TEXT, "duration_s": AMOUNT}
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -93,6 +93,7 @@
         # Keys whose newest record says nothing, with its offset. What follows
         # there is news to others, who may have that record from here.
         self._unreadable: dict[str, int] = {}
+        self._tells_starts = False  # Whether servers tell when they started.
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; a mere heartbeat is no news to others."""
@@ -130,7 +131,7 @@
     def _put(self, record: topics.Record) -> bool:
         """Returns whether the record says something new."""
         try:
-            entry = self._codec.server(record)
+            entry = self._read(record)
         except errors.CodecError as error:
             # Another writer's: what the server itself has said still holds.
             if self._unreadable.get(record.key) != record.offset:
@@ -143,6 +144,7 @@
         self._state.believe(
             "server",
             server=entry.server_id,
+            born=entry.born,
             service=entry.service,
             version=entry.version,
             address=entry.address,
@@ -151,6 +153,24 @@
         )
         return True
 
+    def _read(self, record: topics.Record) -> fleet_lib.ServerEntry:
+        """Returns the entry that a record holds.
+
+        Where servers tell when they started, all do.
+        """
+        entry = self._codec.server(record)
+        if entry.born is not None and not self._tells_starts:
+            self._tells_starts = True
+            for each in self._fleet:
+                if each.entry.born is None:
+                    self._fleet.remove(each.entry.server_id)
+        if entry.born is None and self._tells_starts:
+            raise errors.CodecError(
+                f"record {record.offset} of {record.key} tells no start",
+                "Look at the record in the store.",
+            )
+        return entry
+
     def _remove(self, server_id: str, doubt_ends: float) -> None:
         if self._state.clock() < doubt_ends:
             self._fleet.lapse(server_id, doubt_ends)
--- /dev/null
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -0,0 +1,132 @@
+"""Backend servers that start again, and what older starts still write."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+import relay_parts
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+
+NOW = 100.0
+
+
+@pytest.fixture
+def fleet() -> fleet_lib.Fleet:
+    """A fleet with one server, which has been used a lot."""
+    made = fleet_lib.Fleet()
+    made.put(entry(born=1000, sequence=50))
+    state = made.servers["a"]
+    state.in_flight, state.work, state.mean_work = 3, 500.0, 100.0
+    state.others, state.others_at = 4, NOW
+    state.others_work, state.others_work_until = 70.0, NOW + 5.0
+    state.health.eject(NOW)
+    return made
+
+
+def entry(**fields: Any) -> fleet_lib.ServerEntry:
+    """Returns an entry of the server."""
+    return relay_parts.entry("a", **fields)
+
+
+def test_nothing_of_the_start_before_is_left(fleet: fleet_lib.Fleet) -> None:
+    old = fleet.servers["a"]
+    news = fleet.put(entry(born=2000, sequence=1))
+    assertions.assert_that(news, matchers.Is(True))
+    found = fleet.servers["a"]
+    fresh = fleet_lib.ServerState(entry(born=2000, sequence=1))
+    assertions.assert_that(
+        attrs.asdict(found), matchers.Equals(attrs.asdict(fresh))
+    )
+    ready = fleet.ready("desk", {"v1"}, (), NOW)
+    assertions.assert_that(ready, matchers.Equals([found]))
+    # A request of before that ends now leaves no trace on the new one.
+    old.in_flight -= 1
+    assertions.assert_that(found.in_flight, matchers.Equals(0))
+
+
+def test_what_failed_at_one_start_may_be_tried_at_the_next(
+    fleet: fleet_lib.Fleet,
+) -> None:
+    failed = frozenset({fleet.servers["a"].entry.identity})
+    fleet.servers["a"].health.put_back()
+    ready = fleet.ready("desk", {"v1"}, failed, NOW)
+    assertions.assert_that(ready, matchers.HasLength(0))
+    fleet.put(entry(born=2000))
+    ready = fleet.ready("desk", {"v1"}, failed, NOW)
+    assertions.assert_that(ready, matchers.HasLength(1))
+
+
+def test_work_told_of_one_start_is_not_the_next_one_s(
+    fleet: fleet_lib.Fleet,
+) -> None:
+    told = fleet.own_work()
+    fleet.put(entry(born=2000))
+    fleet.take_others_work(told, NOW)
+    assertions.assert_that(
+        fleet.servers["a"].waiting_work(100.0, NOW), matchers.Equals(0.0)
+    )
+
+
+@pytest.mark.parametrize(
+    ("born", "sequence"), [(999, 80), (1000, 49), (1, 10_000)]
+)
+def test_what_an_older_start_wrote_changes_nothing(
+    fleet: fleet_lib.Fleet, born: int, sequence: int
+) -> None:
+    late = entry(born=born, sequence=sequence, is_leaving=True, slots=9)
+    before = fleet.servers["a"].entry
+    assertions.assert_that(fleet.put(late), matchers.Is(False))
+    assertions.assert_that(fleet.servers["a"].entry, matchers.Is(before))
+
+
+def test_a_late_heartbeat_does_not_list_a_server_that_went(
+    fleet: fleet_lib.Fleet,
+) -> None:
+    fleet.put(entry(born=1000, sequence=51))
+    fleet.remove("a")
+    assertions.assert_that(
+        fleet.put(entry(born=1000, sequence=50)), matchers.Is(False)
+    )
+    assertions.assert_that(fleet.servers, matchers.Equals({}))
+    # One that lives writes on, and a new start begins anew.
+    assertions.assert_that(
+        fleet.put(entry(born=1000, sequence=52)), matchers.Is(True)
+    )
+    fleet.remove("a")
+    assertions.assert_that(
+        fleet.put(entry(born=2000, sequence=1)), matchers.Is(True)
+    )
+
+
+def test_without_the_time_of_a_start_the_newest_entry_counts() -> None:
+    made = fleet_lib.Fleet()
+    made.put(entry(sequence=50))
+    made.put(entry(sequence=1, slots=9))
+    assertions.assert_that(made.servers["a"].entry.slots, matchers.Equals(9))
+
+
+def test_what_is_kept_of_servers_that_went_is_bounded() -> None:
+    made = fleet_lib.Fleet()
+    for number in range(fleet_lib.MOST_REMOVED + 50):
+        made.put(relay_parts.entry(f"s{number}", born=1))
+        made.remove(f"s{number}")
+    assertions.assert_that(
+        made._removed, matchers.HasLength(fleet_lib.MOST_REMOVED)
+    )
+
+
+def test_a_server_that_changes_its_service_is_another_one(
+    fleet: fleet_lib.Fleet,
+) -> None:
+    fleet.put(entry(born=1000, sequence=51, service="llm"))
+    assertions.assert_that(
+        fleet.ready("desk", {"v1"}, (), NOW), matchers.HasLength(0)
+    )
+    assertions.assert_that(
+        fleet.ready("llm", {"v1"}, (), NOW), matchers.HasLength(1)
+    )
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -258,6 +258,39 @@
     )
 
 
+async def test_where_servers_tell_their_start_an_entry_without_is_not_one(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    await platform.publish(platform.servers, "x", relay_parts.entry("x"))
+    for name in "ab":
+        entry = relay_parts.entry(name, born=1000)
+        await platform.publish(platform.servers, name, entry)
+    await platform.publish(platform.servers, "y", relay_parts.entry("y"))
+    await servers.read_once()
+    assertions.assert_that(known(rig), matchers.Equals(["a", "b"]))
+
+
+async def test_a_new_start_is_told_to_other_hosts(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    for born, sequence in ((1000, 7), (2000, 1), (1000, 8)):
+        entry = relay_parts.entry("a", born=born, sequence=sequence)
+        await platform.publish(platform.servers, "a", entry)
+        await servers.read_once()
+    found = rig.state.router.fleet.servers["a"]
+    assertions.assert_that(found.entry.born, matchers.Equals(2000))
+    # The older start's heartbeat came last, and nobody has it from here.
+    copy = servers.mirror.copy_from(1)
+    assert copy is not None
+    assertions.assert_that(
+        [each.offset for each in copy.records], matchers.Equals([1])
+    )
+
+
 async def test_an_unreadable_order_hides_no_configuration(
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
