Send nothing to a failure domain that operators evacuate

Cause: nothing read the operators' evacuations.

Ruled out: to take an evacuated server for one that leaves; it comes back the same, and an entry that says it is ready would undo it.

Change: the fleet holds the evacuated failure domains. Their servers are no choice for any attempt (first, repeated, resumed, of a trial), and a version that has servers there only is none to choose. With all servers of a service evacuated, callers are refused at once.

Measured: in virtual time the order and its end are in force at 1, 9, 84 and 360 hosts within a second, within three where the store turns a third of the hosts away, and with the configuration after a restart of all.

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -129,7 +129,7 @@
         service = request.service
         allowed = self.rollouts.choose(
             service,
-            self.fleet.versions(service),
+            self.fleet.versions(service, now),
             request.session,
             failed,
             now,
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -176,10 +176,12 @@
 
     Attributes:
         servers: By id.
+        evacuated: Failure domains whose servers get no new work.
     """
 
     def __init__(self) -> None:
         self.servers: dict[str, ServerState] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self._by_service: dict[str, dict[str, ServerState]] = {}
         # Last entries of servers that went, oldest first.
         self._removed: dict[str, ServerEntry] = {}
@@ -287,9 +289,8 @@
         """
         pool = [
             each
-            for each in self._by_service.get(service, {}).values()
-            if not each.is_gone(now)
-            and each.entry.version in versions
+            for each in self._usable(service, now)
+            if each.entry.version in versions
             and each.entry.identity not in excluded
         ]
         for each in pool:
@@ -297,9 +298,12 @@
         sound = [each for each in pool if not each.health.is_resting]
         return sound if len(sound) >= len(pool) * MAX_RESTING else pool
 
-    def versions(self, service: str) -> set[str]:
-        """Returns the versions that a service's servers have."""
-        pool = self._by_service.get(service, {}).values()
-        return {
-            each.entry.version for each in pool if not each.entry.is_leaving
-        }
+    def versions(self, service: str, now: float) -> set[str]:
+        """Returns the versions of a service's servers that may get work."""
+        return {each.entry.version for each in self._usable(service, now)}
+
+    def _usable(self, service: str, now: float) -> Iterator[ServerState]:
+        """Yields the servers of a service that may get new work at all."""
+        for each in self._by_service.get(service, {}).values():
+            if not each.is_gone(now) and each.entry.zone not in self.evacuated:
+                yield each
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -19,6 +19,7 @@
 
 _CONFIGURATION_KEY = "config"
 _ROLLOUT_PREFIX = "rollout/"
+_EVACUATION_PREFIX = "evacuate/"
 _MS = 1000.0
 
 _KINDS = {
@@ -62,6 +63,11 @@
             number=record.offset,
         )
 
+    def evacuated_zone(self, record: topics.Record) -> str | None:
+        """Returns the failure domain that the record says to evacuate."""
+        zone = record.key.removeprefix(_EVACUATION_PREFIX)
+        return None if zone == record.key else zone
+
     def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns a backend server's entry."""
         fields = _load(record, fields_lib.SERVER)
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -34,7 +34,7 @@
 
 
 class OperatorListener:
-    """Takes configurations and roll-out orders."""
+    """Takes configurations, roll-out orders and evacuations."""
 
     def __init__(self, state: state_lib.RelayState, codec: ports.Codec) -> None:
         self._state = state
@@ -47,10 +47,31 @@
                 self._take(record)
             except errors.CodecError as error:
                 _note_unreadable(self._state, "operator", record, error)
+        self._take_evacuations(update.batch)
         if self._state.configuration is not None:
             self._state.lease.prove(update.current_at)
         return update.batch.records
 
+    def _take_evacuations(self, batch: topics.Batch) -> None:
+        """Takes which failure domains are evacuated after a batch."""
+        fleet = self._state.router.fleet
+        # What a snapshot lacks was taken back.
+        zones = set() if batch.is_snapshot else set(fleet.evacuated)
+        for record in batch.records:
+            zone = self._codec.evacuated_zone(record)
+            if zone is None:
+                continue
+            if record.value is None:
+                zones.discard(zone)
+            else:
+                zones.add(zone)
+        if zones == fleet.evacuated:
+            return
+        fleet.evacuated = frozenset(zones)
+        self._state.believe(
+            "evacuated", zones=sorted(zones), offset=batch.next_offset
+        )
+
     def _take(self, record: topics.Record) -> None:
         if record.value is None:
             return
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -81,6 +81,13 @@
     def order(self, record: topics.Record) -> rollouts.Order | None:
         """Returns the roll-out order that an operator's record holds."""
 
+    def evacuated_zone(self, record: topics.Record) -> str | None:
+        """Returns the failure domain that an operator's record is about.
+
+        It is evacuated as long as the record has a value. None if the record
+        is about something else.
+        """
+
     def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns a backend server's entry."""
 
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -130,3 +130,20 @@
     assertions.assert_that(
         fleet.ready("llm", {"v1"}, (), NOW), matchers.HasLength(1)
     )
+
+
+def test_an_evacuated_failure_domain_gets_nothing() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("n", zone="north"))
+    made.put(relay_parts.entry("s", zone="south", version="v2"))
+    made.evacuated = frozenset({"north"})
+    ready = made.ready("desk", {"v1", "v2"}, (), NOW)
+    assertions.assert_that(
+        [each.entry.server_id for each in ready], matchers.Equals(["s"])
+    )
+    # A version that has servers there only is none to choose.
+    assertions.assert_that(made.versions("desk", NOW), matchers.Equals({"v2"}))
+    made.evacuated = frozenset({"north", "south"})
+    assertions.assert_that(
+        made.ready("desk", {"v1", "v2"}, (), NOW), matchers.Equals([])
+    )
--- a/tests/relay/front/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -465,3 +465,36 @@
     for _ in range(50):
         await _status(harness, "/look/")
     assertions.assert_that(bad.requests, matchers.HasLength(sent))
+
+
+async def test_an_evacuated_failure_domain_gets_no_request(
+    harness: Harness,
+) -> None:
+    await harness.add_backend("s1", answer_done, zone="north")
+    south = await harness.add_backend("s2", answer_done, zone="south")
+    fleet = harness.state.router.fleet
+    await harness.platform.operator.put("empty-north", b"{}")
+    await harness.until(lambda: fleet.evacuated == {"north"})
+    for _ in range(4):
+        async with harness.call("/look/x") as reply:
+            assertions.assert_that(reply.status, matchers.Equals(200))
+    assertions.assert_that(south.requests, matchers.HasLength(4))
+
+
+async def test_with_all_servers_evacuated_callers_are_refused_at_once(
+    harness: Harness,
+) -> None:
+    backend = await harness.add_backend("s1", answer_done, zone="north")
+    fleet = harness.state.router.fleet
+    await harness.platform.operator.put("empty-north", b"{}")
+    await harness.until(lambda: fleet.evacuated == {"north"})
+    async with harness.call("/confirm/x") as reply:
+        assertions.assert_that(reply.status, matchers.Equals(503))
+        assertions.assert_that(
+            float(reply.headers["Retry-After"]), matchers.GreaterThan(0.0)
+        )
+    assertions.assert_that(backend.requests, matchers.Equals([]))
+    await harness.platform.operator.put("empty-north", None)
+    await harness.until(lambda: not fleet.evacuated)
+    async with harness.call("/confirm/x") as reply:
+        assertions.assert_that(reply.status, matchers.Equals(200))
--- a/tests/relay/peers/test_relay_swarm.py
+++ b/tests/relay/peers/test_relay_swarm.py
@@ -16,6 +16,8 @@
 
 SIZES = (31, 195)
 LARGE = 90_000  # Bytes of a configuration of 1,400 routes, compressed.
+# From one host to the size that is planned for.
+EVACUATING = (1, 9, 84, 360)
 READS = 6  # Calls a second of the host that reads for all, at the most.
 
 
@@ -147,3 +149,59 @@
         assert_calls(swarm, 2 * hosts)
 
     relay_swarm.play(monkeypatch, scenario())
+
+
+async def evacuate(swarm: relay_swarm.Swarm, zone: str, value: object) -> float:
+    """Returns the seconds until all hosts know the operators' word."""
+    await swarm.store.publish("operator", f"empty-{zone}", value)
+    expected = set() if value is None else {zone}
+    return await swarm.until(lambda each: each.evacuated == expected)
+
+
+@pytest.mark.parametrize("hosts", EVACUATING)
+def test_an_evacuation_and_its_end_are_in_force_within_a_second(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        swarm = await calm_swarm(hosts)
+        for value in ("{}", None, "{}"):
+            assert_within(await evacuate(swarm, "north", value), 1.0)
+            await asyncio.sleep(0.7)
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+@pytest.mark.parametrize("hosts", EVACUATING)
+def test_hosts_that_restart_know_an_evacuation_once_they_are_current(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        swarm = await calm_swarm(hosts)
+        await evacuate(swarm, "north", "{}")
+        for member in swarm.members:
+            member.stop()
+        for member in swarm.members:
+            member.start()
+        took = await swarm.until(lambda each: each.is_current)
+        assert_within(took, 1.5)
+        assertions.assert_that(
+            [each.evacuated for each in swarm.members],
+            matchers.AllMatch(matchers.Equals({"north"})),
+        )
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+@pytest.mark.parametrize("hosts", EVACUATING[1:])
+def test_hosts_that_the_store_turns_away_learn_of_an_evacuation(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        swarm = await calm_swarm(hosts)
+        for member in swarm.members[::3]:
+            swarm.store.fault[member.name] = "busy"
+        swarm.store.wake()
+        assert_within(await evacuate(swarm, "north", "{}"), 3.0)
+        assert_within(await evacuate(swarm, "north", None), 2.0)
+
+    relay_swarm.play(monkeypatch, scenario())
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -311,6 +311,13 @@
         state = self.relay.state
         return state.lease.age(state.clock())
 
+    @property
+    def evacuated(self) -> set[str]:
+        """Failure domains that get nothing from here."""
+        if self.relay is None:
+            return set()
+        return set(self.relay.state.router.fleet.evacuated)
+
     @property
     def revision(self) -> int:
         """Revision of the configuration in force here; 0 for none."""
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -291,6 +291,38 @@
     )
 
 
+async def test_an_evacuation_holds_until_it_is_taken_back(
+    rig: Rig, platform: relay_platform.MemoryPlatform
+) -> None:
+    listener = listeners.OperatorListener(rig.state, platform.codec)
+    fleet = rig.state.router.fleet
+
+    def take(batch: topics.Batch) -> set[str]:
+        listener(follower.Update(batch, rig.clock.now, float("inf")))
+        return set(fleet.evacuated)
+
+    await platform.operator.put("empty-north", b"{}")
+    await platform.operator.put("empty-south", b"{}")
+    both = take(await platform.operator.changes(0, 0.0))
+    assertions.assert_that(both, matchers.Equals({"north", "south"}))
+    # What else operators write does not end it.
+    await platform.publish(platform.operator, "config", relay_parts.in_force())
+    both = take(await platform.operator.changes(2, 0.0))
+    assertions.assert_that(both, matchers.Equals({"north", "south"}))
+    await platform.operator.put("empty-north", None)
+    left = take(await platform.operator.changes(3, 0.0))
+    assertions.assert_that(left, matchers.Equals({"south"}))
+    # The history may be gone by then: what a snapshot lacks was taken back.
+    await platform.operator.put("empty-south", None)
+    left = take(await platform.operator.newest())
+    assertions.assert_that(left, matchers.Equals(set()))
+    lines = [each for each in rig.events() if each["event"] == "evacuated"]
+    assertions.assert_that(
+        [each["zones"] for each in lines],
+        matchers.Equals([["north", "south"], ["south"], []]),
+    )
+
+
 async def test_an_unreadable_order_hides_no_configuration(
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -97,6 +97,11 @@
         found = self.known.get(record.value or b"")
         return found if isinstance(found, rollouts.Order) else None
 
+    def evacuated_zone(self, record: topics.Record) -> str | None:
+        """Returns the failure domain after ``empty-`` in the key."""
+        zone = record.key.removeprefix("empty-")
+        return None if zone == record.key else zone
+
     def server(self, record: topics.Record) -> fleet.ServerEntry:
         """Returns the entry that the record names."""
         found = self.known.get(record.value or b"")
