Share among few hosts what a cold server bears

Cause: a server that comes back cold has no work, so it looks the best to all hosts. warm_in was decoded and used nowhere.

Change: each start of a server has a few hosts that may send it a fixed number in 1.25 s while it is cold: as it says, for its warmup after an evacuation ends, and, softly, after it took no connection, as its new entry is read later than it returns. Their shares add up to half of the bound. A host that does not know the others has none. A version whose servers this host must leave alone is none to choose.

--- a/src/hoistmoor/core/relay/beliefs/configuration.py
+++ b/src/hoistmoor/core/relay/beliefs/configuration.py
@@ -80,12 +80,17 @@
         max_connections: Connections that one of its servers takes in all.
         has_engine: Whether its servers are model engines.
         model_costs: Cost of a thousand generated tokens, by model.
+        warmup_duration: Seconds for which a server is cold after its start;
+            0 if it is as good as any at once.
+        warmup_rate: Requests a second that a cold server bears.
     """
 
     name: str
     max_connections: int
     has_engine: bool = False
     model_costs: dict[str, float] = attrs.field(factory=dict)
+    warmup_duration: float = 0.0
+    warmup_rate: float = 0.0
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
@@ -36,12 +37,14 @@
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats a host may make with no request at all.
         session_life: Seconds after its last request that a session lives.
+        warmup_excess: What cold servers may get beyond their rates.
     """
 
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
     session_life: float = 5.0
+    warmup_excess: warmup.Excess = attrs.field(factory=warmup.Excess)
 
 
 @attrs.define
@@ -78,8 +81,19 @@
         zone: Failure domain of this host.
     """
 
-    def __init__(self, zone: str, bounds: Bounds, draws: hashing.Draws) -> None:
-        self.fleet = fleet_lib.Fleet()
+    def __init__(
+        self, zone: str, bounds: Bounds, draws: hashing.Draws, own: str = ""
+    ) -> None:
+        """Makes a router that knows no server yet.
+
+        Args:
+            zone: Failure domain of this host.
+            bounds: Bounds that the operators set.
+            draws: Source of randomness.
+            own: Name of this host.
+        """
+        self.fleet = fleet_lib.Fleet(own)
+        self.fleet.warmups.take_excess(bounds.warmup_excess)
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
         self.zone = zone
@@ -91,6 +105,7 @@
         """Puts other bounds in force; what was counted stays."""
         self._bounds = bounds
         self.rollouts.sessions.life = bounds.session_life
+        self.fleet.warmups.take_excess(bounds.warmup_excess)
         for service in self._services.values():
             service.budget.ratio = bounds.repeat_ratio
             service.budget.window = bounds.repeat_window
@@ -192,6 +207,7 @@
         """Counts an attempt that is about to be sent."""
         server = send.server
         server.in_flight += 1
+        server.sends.note(now)
         if request.prompt is not None:
             work = request.work(send.model)
             server.work += work
@@ -235,6 +251,7 @@
             server.health.full_until = now + fleet_lib.FULL_REST
             return
         if outcome is pace_lib.AttemptOutcome.UNREACHABLE:
+            self.fleet.doubt(server, now, self._draws.unit())
             server.health.rest_unreachable(
                 now,
                 fleet_lib.UNREACHABLE_REST,
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import warmup as warmup_lib
 from hoistmoor.core.routing import health as health_lib
 
 if TYPE_CHECKING:
@@ -117,6 +118,10 @@
         others_work_until: Until when that counts.
         lapsed_until: Until when it is kept though its entry went away in
             doubt; None while it is listed.
+        cold_until: Until when it is cold, as far as is known.
+        doubted_until: Until when it may come back as a new start, of which
+            nothing was read yet.
+        sends: Requests that this host sent to it lately.
     """
 
     entry: ServerEntry
@@ -129,6 +134,9 @@
     others_work: float = 0.0
     others_work_until: float = float("-inf")
     lapsed_until: float | None = None
+    cold_until: float = float("-inf")
+    doubted_until: float = float("-inf")
+    sends: warmup_lib.RecentSends = attrs.field(factory=warmup_lib.RecentSends)
 
     def is_gone(self, now: float) -> bool:
         """Returns whether it must get no new work."""
@@ -177,10 +185,17 @@
     Attributes:
         servers: By id.
         evacuated: Failure domains whose servers get no new work.
+        warmups: This host's share of what cold servers may get.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, own: str = "") -> None:
+        """Makes an empty fleet.
+
+        Args:
+            own: Name of this host.
+        """
         self.servers: dict[str, ServerState] = {}
+        self.warmups = warmup_lib.WarmupShares(own)
         self.evacuated: frozenset[str] = frozenset()
         self._by_service: dict[str, dict[str, ServerState]] = {}
         # Last entries of servers that went, oldest first.
@@ -190,12 +205,17 @@
         """Yields all servers."""
         return iter(tuple(self.servers.values()))
 
-    def put(self, entry: ServerEntry) -> bool:
+    def put(self, entry: ServerEntry, now: float = 0.0) -> bool:
         """Takes an entry; returns whether it changes what to do.
 
         Another start of a server is a new server, of which nothing is known
         but its entry. What an older start wrote changes nothing, however late
         it is read.
+
+        Args:
+            entry: The entry.
+            now: Steady time; an entry that says that the server is cold was
+                written before, so the server is warm by the time it says.
         """
         known = self.servers.get(entry.server_id)
         newest = known.entry if known else self._removed.get(entry.server_id)
@@ -203,12 +223,52 @@
             return False
         if known is None or not _is_same_server(known.entry, entry):
             self._replace(known, entry)
+            self._note_cold(entry, now)
             return True
         changed = known.entry != entry or known.lapsed_until is not None
         known.entry = entry
         known.lapsed_until = None
+        self._note_cold(entry, now)
         return changed
 
+    def _note_cold(self, entry: ServerEntry, now: float) -> None:
+        if entry.warm_in > 0.0:
+            state = self.servers[entry.server_id]
+            state.cold_until = max(state.cold_until, now + entry.warm_in)
+
+    def evacuate(self, zones: frozenset[str], now: float) -> None:
+        """Takes which failure domains get no new work from now on.
+
+        Where that ends, servers count as cold until they certainly are not:
+        their own word of it comes a heartbeat later.
+        """
+        ended = self.evacuated - zones
+        self.evacuated = zones
+        for each in self:
+            warmup = self.warmups.warmup_of(each.entry.service)
+            if warmup is not None and each.entry.zone in ended:
+                each.cold_until = max(each.cold_until, now + warmup.duration)
+
+    def doubt(self, state: ServerState, now: float, draw: float) -> None:
+        """Notes that a server took no connection.
+
+        It may come back cold some time before that is read. The hosts' doubts
+        end at different times, so that they do not all try it together.
+
+        Args:
+            state: The server.
+            now: Steady time.
+            draw: Random number, 0 to 1.
+        """
+        warmup = self.warmups.warmup_of(state.entry.service)
+        if warmup is not None:
+            state.doubted_until = now + warmup.duration * (1.0 + draw)
+
+    def _has_share(self, state: ServerState, now: float) -> bool:
+        entry = state.entry
+        share = self.warmups.share_of(entry.service, entry.identity)
+        return state.sends.count(now) < share
+
     def _replace(self, known: ServerState | None, entry: ServerEntry) -> None:
         if known is not None:
             self._forget(known)
@@ -293,6 +353,14 @@
             if each.entry.version in versions
             and each.entry.identity not in excluded
         ]
+        # While others are left, a server that may come back cold is tried by
+        # those hosts alone that may send to cold ones.
+        tried = [
+            each
+            for each in pool
+            if now >= each.doubted_until or self._has_share(each, now)
+        ]
+        pool = tried or pool
         for each in pool:
             each.health.wake(now)
         sound = [each for each in pool if not each.health.is_resting]
@@ -305,5 +373,8 @@
     def _usable(self, service: str, now: float) -> Iterator[ServerState]:
         """Yields the servers of a service that may get new work at all."""
         for each in self._by_service.get(service, {}).values():
-            if not each.is_gone(now) and each.entry.zone not in self.evacuated:
-                yield each
+            if each.is_gone(now) or each.entry.zone in self.evacuated:
+                continue
+            if now < each.cold_until and not self._has_share(each, now):
+                continue
+            yield each
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -171,6 +171,8 @@
         max_connections=fields.get("max_connections", 0),
         has_engine=bool(engine),
         model_costs={each["name"]: each["cost"] for each in models},
+        warmup_duration=float(fields.get("warmup_s") or 0.0),
+        warmup_rate=float(fields.get("warmup_per_s") or 0.0),
     )
 
 
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -57,6 +57,8 @@
         repeat_ratio=bounds["retry_budget_ratio"],
         repeat_window=bounds["retry_window_s"],
         session_life=bounds["session_s"],
+        warmup_factor=bounds.get("warmup_overshoot", 1.0),
+        warmup_spare=bounds.get("warmup_tolerance", 0.0),
         link=fields.get("limits", {}).get("link_mbps") or 0.0,
         is_first_start=fields.get("bootstrap", False),
     )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -18,6 +18,7 @@
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
@@ -106,7 +107,9 @@
             clock=clock,
             log=event_log.EventLog(settings.host, clock, LOG_DESCRIPTOR),
             counters=counters.Counters(),
-            router=router_lib.Router(settings.zone, _bounds(settings), draws),
+            router=router_lib.Router(
+                settings.zone, _bounds(settings), draws, settings.host
+            ),
             lease=freshness.ConfigurationLease(
                 settings.revocation, settings.is_revocation_strict
             ),
@@ -210,6 +213,7 @@
             self._gate,
         ).run
         if not settings.peer_listen:
+            self.state.router.fleet.warmups.take_hosts([settings.host])
             return
         own = mirror.Host(
             settings.host, settings.zone, settings.peer_listen, settings.link
@@ -313,6 +317,7 @@
         settings.repeat_window,
         settings.repeat_spare,
         settings.session_life,
+        warmup.Excess(settings.warmup_factor, settings.warmup_spare),
     )
 
 
--- a/src/hoistmoor/relay/peers/peers.py
+++ b/src/hoistmoor/relay/peers/peers.py
@@ -66,6 +66,7 @@
                     offset=record.offset,
                     detail=str(error),
                 )
+        self._state.router.fleet.warmups.take_hosts(self._sources.hosts)
         return update.batch.records
 
 
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -25,6 +25,9 @@
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats that a host may make without any request.
         session_life: Seconds after its last request that a session lives.
+        warmup_factor: Times the rate that a service states for cold servers
+            which these may get.
+        warmup_spare: Requests in a second that they may get on top.
         link: Mbit/s of this host's link; 0 if it is not known.
         is_first_start: Whether all hosts start now for the first time.
     """
@@ -42,5 +45,7 @@
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
     session_life: float = 5.0
+    warmup_factor: float = 1.0
+    warmup_spare: float = 0.0
     link: float = 0.0
     is_first_start: bool = False
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -67,7 +67,7 @@
                 zones.add(zone)
         if zones == fleet.evacuated:
             return
-        fleet.evacuated = frozenset(zones)
+        fleet.evacuate(frozenset(zones), self._state.clock())
         self._state.believe(
             "evacuated", zones=sorted(zones), offset=batch.next_offset
         )
@@ -97,6 +97,7 @@
         if known is not None and found.revision <= known.revision:
             return
         self._state.configuration = found
+        self._state.router.fleet.warmups.take_services(found.services)
         self._state.believe(
             "configuration",
             revision=found.revision,
@@ -160,7 +161,7 @@
             self._unreadable[record.key] = record.offset
             return False
         was_unreadable = self._unreadable.pop(record.key, None) is not None
-        if not self._fleet.put(entry):
+        if not self._fleet.put(entry, self._state.clock()):
             return was_unreadable
         self._state.believe(
             "server",
@@ -170,6 +171,7 @@
             version=entry.version,
             address=entry.address,
             leaving=entry.is_leaving,
+            warm_in=entry.warm_in,
             offset=record.offset,
         )
         return True
