Count the requests at an engine against its slots when one is chosen

All attempts at the smallest model went to 50 of 70 engines, most of them to 10, which had three times as many requests as slots and declined 329 of 607 and 470 of 766 in one second each, while the others had slots left. The rank went by work alone, and 64 short answers of a small model are less of it than six of a large one: decoding a batch costs an engine hardly more than one answer, but it begins no more than its slots.

Ruled out: too little capacity; 620 of 1,120 slots would have been taken.

Change: hosts tell one another the number of requests beside the work, and an engine with all slots taken seems twice as busy, with twice as many requests 17 times.

--- a/src/hoistmoor/core/relay/placement/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -30,6 +30,11 @@
 # failure domains (mean of 15 played days with disturbances) and costs no
 # answer its time; at 3.0 a third is saved and long prompts wait more.
 FAR_FACTOR = 2.0
+# An engine begins as many requests at once as it has slots, and what is beyond
+# them waits: with all slots taken it seems twice as busy, with twice as many
+# requests 17 times. The work of short answers of a small model alone does not
+# show that 64 of them wait where 16 have a slot.
+CROWD_POWER = 4.0
 NEAR_POWER = 3.0  # How much more often a near engine is drawn than a far one.
 # Engines drawn for a request, besides the one that has its prompt cached.
 DRAWN = 4
@@ -100,7 +105,9 @@
             own -= cached
         apart = 1.0 + APART * distances[server.entry.identity]
         far = FAR_FACTOR if server.entry.zone != zone else 1.0
-        return (waiting + own) * apart * far * max(1.0, server.health.pace)
+        busy = apart * far * max(1.0, server.health.pace)
+        crowd = 1.0 + math.pow(server.crowding(now), CROWD_POWER)
+        return (waiting + own) * busy * crowd
 
     return min(candidates, key=work_until_done)
 
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import warmup as warmup_lib
 from hoistmoor.core.routing import health as health_lib
 
@@ -114,8 +115,8 @@
             before the first.
         others: Requests of other hosts that it had when it last told.
         others_at: When it last told.
-        others_work: Work of other hosts that it has, as these told.
-        others_work_until: Until when that counts.
+        told: What other hosts have under way at it, as these told.
+        told_until: Until when that counts.
         lapsed_until: Until when it is kept though its entry went away in
             doubt; None while it is listed.
         cold_until: Until when it is cold, as far as is known.
@@ -131,8 +132,8 @@
     mean_work: float = 0.0
     others: int = 0
     others_at: float = float("-inf")
-    others_work: float = 0.0
-    others_work_until: float = float("-inf")
+    told: outstanding.ServerWork = outstanding.NOTHING
+    told_until: float = float("-inf")
     lapsed_until: float | None = None
     cold_until: float = float("-inf")
     doubted_until: float = float("-inf")
@@ -152,6 +153,12 @@
         requests = self.in_flight + self.others_now(now)
         return (requests + 1) / max(1, self.entry.slots)
 
+    def crowding(self, now: float) -> float:
+        """Returns the requests that one more makes, in shares of its slots."""
+        is_told = now < self.told_until
+        others = self.told.requests if is_told else self.others_now(now)
+        return (self.in_flight + others + 1) / self.entry.slots
+
     def waiting_work(self, usual: float, now: float) -> float:
         """Returns the work that it has before it.
 
@@ -159,8 +166,8 @@
             usual: Work of a request, for a server not used yet.
             now: Steady time.
         """
-        if now < self.others_work_until:
-            return self.work + self.others_work
+        if now < self.told_until:
+            return self.work + self.told.work
         return self.work + (self.mean_work or usual) * self.others_now(now)
 
     def note_work(self, work: float) -> None:
@@ -305,19 +312,23 @@
         if state is not None and state.lapsed_until is None:
             state.lapsed_until = until
 
-    def own_work(self) -> dict[str, float]:
-        """Returns this host's work by server's identity, if it has any."""
+    def own_work(self) -> outstanding.WorkByServer:
+        """Returns this host's work by engine's identity, if it has any."""
         return {
-            each.entry.identity: round(each.work)
+            each.entry.identity: outstanding.ServerWork(
+                round(each.work), each.in_flight
+            )
             for each in self.servers.values()
             if each.work > 0.0
         }
 
-    def take_others_work(self, work: dict[str, float], now: float) -> None:
+    def take_others_work(
+        self, work: outstanding.WorkByServer, now: float
+    ) -> None:
         """Takes the work of all other hosts, by server's identity."""
         for each in self.servers.values():
-            each.others_work = work.get(each.entry.identity, 0.0)
-            each.others_work_until = now + WORK_LIFE
+            each.told = work.get(each.entry.identity, outstanding.NOTHING)
+            each.told_until = now + WORK_LIFE
 
     def drop_lapsed(self, now: float) -> list[str]:
         """Forgets servers missing for too long; returns their ids."""
--- a/src/hoistmoor/core/relay/servers/outstanding.py
+++ b/src/hoistmoor/core/relay/servers/outstanding.py
@@ -9,15 +9,35 @@
 
 from __future__ import annotations
 
-import collections
-
 import attrs
 
 # Seconds after which a host's word counts no more: it tells several times in
 # between, so it has gone, or it tells another source.
 REPORT_LIFE = 1.5
 
-WorkByServer = dict[str, float]
+
+@attrs.frozen
+class ServerWork:
+    """What some hosts have under way at one backend server.
+
+    Attributes:
+        work: Work of their requests, in prompt tokens of the smallest model.
+        requests: How many these are.
+    """
+
+    work: float
+    requests: int
+
+    def __add__(self, other: ServerWork) -> ServerWork:
+        """Returns both together."""
+        return ServerWork(
+            self.work + other.work, self.requests + other.requests
+        )
+
+
+NOTHING = ServerWork(0.0, 0)
+
+WorkByServer = dict[str, ServerWork]
 
 
 @attrs.frozen
@@ -79,7 +99,8 @@
 
 
 def _sum(parts: list[WorkByServer]) -> WorkByServer:
-    total: collections.Counter[str] = collections.Counter()
+    total: WorkByServer = {}
     for part in parts:
-        total.update(part)
-    return dict(total)
+        for server, work in part.items():
+            total[server] = total.get(server, NOTHING) + work
+    return total
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -15,6 +15,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.utils import addresses
 
@@ -55,7 +56,7 @@
 
     offsets: dict[str, int | None]
     host: str = ""
-    work: dict[str, float] = attrs.field(factory=dict)
+    work: outstanding.WorkByServer = attrs.field(factory=dict)
     evidence: tuple[evidence_lib.Evidence, ...] = ()
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
@@ -75,7 +76,7 @@
 
     depth: int
     topics: dict[str, TopicCopy]
-    work: dict[str, float] = attrs.field(factory=dict)
+    work: outstanding.WorkByServer = attrs.field(factory=dict)
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
 
@@ -97,8 +98,16 @@
     return zlib.decompress(base64.b64decode(text))
 
 
+def _read_work(numbers: tuple[float, int], _: object) -> outstanding.ServerWork:
+    work, requests = numbers
+    return outstanding.ServerWork(float(work), int(requests))
+
+
 def _make_converter() -> cattrs.Converter:
     made = cattrs.Converter()
+    # Two numbers a server: a thousand of them are told three times a second.
+    made.register_unstructure_hook(outstanding.ServerWork, attrs.astuple)
+    made.register_structure_hook(outstanding.ServerWork, _read_work)
     made.register_unstructure_hook(bytes, _pack)
     made.register_structure_hook(bytes, _unpack)
     return made
--- a/tests/core/relay/placement/test_relay_placement.py
+++ b/tests/core/relay/placement/test_relay_placement.py
@@ -10,10 +10,12 @@
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.course import requests as requests_lib
 from hoistmoor.core.relay.placement import partition
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
@@ -100,6 +102,38 @@
     assertions.assert_that(found.entry.server_id, matchers.Equals(chosen))
 
 
+def test_short_work_does_not_wait_for_a_slot_while_others_are_free() -> None:
+    # A burst of short answers: the engines that stand near have three times as
+    # many of them as slots and little work; the far ones have slots left and
+    # more work, of large models.
+    ready = [
+        fleet_lib.ServerState(
+            relay_parts.entry(f"e{number}", service="llm", slots=16)
+        )
+        for number in range(70)
+    ]
+    work_class = partition.WorkClass(0, 3, False)
+    distances = partition.distances(work_class, ready)
+    for each in ready:
+        is_near = distances[each.entry.identity] < 0.15
+        requests, work = (48, 15_000) if is_near else (8, 40_000)
+        each.told = outstanding.ServerWork(work, requests)
+        each.told_until = NOW + 1.0
+    # Nothing of it is shared, so no engine has any of it cached.
+    prompt = requests_lib.Prompt(
+        "*", 800, 50, (requests_lib.PromptPart("own", 800),)
+    )
+    request = relay_parts.request(relay_parts.CHAT, prompt=prompt)
+    waiting = 0
+    for _ in range(200):
+        found = placement.pick_engine(
+            ready, request, "small", "", distances, 1000.0, DRAWS, NOW
+        )
+        assert found is not None
+        waiting += found.crowding(NOW) > 1.0
+    assertions.assert_that(waiting, matchers.LessThan(20))
+
+
 def test_models_of_unlike_size_do_not_meet_while_there_is_room() -> None:
     ready = engines(9)
     small = {pick_engine(ready, "small")}
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -11,6 +11,7 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import outstanding
 
 NOW = 100.0
 
@@ -23,7 +24,8 @@
     state = made.servers["a"]
     state.in_flight, state.work, state.mean_work = 3, 500.0, 100.0
     state.others, state.others_at = 4, NOW
-    state.others_work, state.others_work_until = 70.0, NOW + 5.0
+    state.told = outstanding.ServerWork(70.0, 2)
+    state.told_until = NOW + 5.0
     state.health.eject(NOW)
     return made
 
--- a/tests/core/relay/servers/test_relay_outstanding.py
+++ b/tests/core/relay/servers/test_relay_outstanding.py
@@ -15,16 +15,26 @@
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
-OWN = {"a": 1.0}
+
+
+def works(**numbers: float) -> outstanding_lib.WorkByServer:
+    """Returns work by server; of each there is a request for a unit."""
+    return {
+        name: outstanding_lib.ServerWork(number, int(number))
+        for name, number in numbers.items()
+    }
+
+
+OWN = works(a=1.0)
 
 
 @pytest.fixture
 def known() -> outstanding_lib.OutstandingWork:
     """What two hosts that ask this one told, and what its source told."""
     made = outstanding_lib.OutstandingWork()
-    made.take("n2", {"a": 2.0, "b": 4.0}, NOW)
-    made.take("n3", {"b": 8.0}, NOW)
-    made.take_rest({"c": 16.0}, NOW)
+    made.take("n2", works(a=2.0, b=4.0), NOW)
+    made.take("n3", works(b=8.0), NOW)
+    made.take_rest(works(c=16.0), NOW)
     return made
 
 
@@ -32,11 +42,9 @@
     known: outstanding_lib.OutstandingWork,
 ) -> None:
     told = known.told_to("n2", OWN, NOW)
+    assertions.assert_that(told, matchers.Equals(works(a=1.0, b=8.0, c=16.0)))
     assertions.assert_that(
-        told, matchers.Equals({"a": 1.0, "b": 8.0, "c": 16.0})
-    )
-    assertions.assert_that(
-        known.of_others(NOW), matchers.Equals({"a": 2.0, "b": 12.0, "c": 16.0})
+        known.of_others(NOW), matchers.Equals(works(a=2.0, b=12.0, c=16.0))
     )
 
 
@@ -44,7 +52,7 @@
     known: outstanding_lib.OutstandingWork,
 ) -> None:
     assertions.assert_that(
-        known.told_to_source(OWN, NOW), matchers.Equals({"a": 3.0, "b": 12.0})
+        known.told_to_source(OWN, NOW), matchers.Equals(works(a=3.0, b=12.0))
     )
 
 
@@ -53,8 +61,10 @@
 ) -> None:
     later = NOW + outstanding_lib.REPORT_LIFE + 0.1
     assertions.assert_that(known.of_others(later), matchers.Is(None))
-    known.take("n3", {"b": 1.0}, later)
-    assertions.assert_that(known.of_others(later), matchers.Equals({"b": 1.0}))
+    known.take("n3", works(b=1.0), later)
+    assertions.assert_that(
+        known.of_others(later), matchers.Equals(works(b=1.0))
+    )
 
 
 def test_many_hosts_with_the_same_news_do_not_all_choose_the_same_engine() -> (
@@ -93,7 +103,7 @@
     fleet.put(relay_parts.entry("a"))
     state = fleet.servers["a"]
     state.others, state.others_at = 3, NOW
-    fleet.take_others_work({"a": 500.0}, NOW)
+    fleet.take_others_work(works(a=500.0), NOW)
     state.work = 20.0
     assertions.assert_that(
         state.waiting_work(100.0, NOW + 0.1), matchers.Equals(520.0)
--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -11,13 +11,16 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.relay.peers import peer_codec
 
 
 def answer(value: bytes | None) -> peer_codec.CopyAnswer:
     batch = topics.Batch((topics.Record("config", value, 3),), 4)
     copy = peer_codec.TopicCopy(batch, after_outage=1.0, age=0.2)
-    return peer_codec.CopyAnswer(1, {"operator": copy}, {"s1": 5.0})
+    return peer_codec.CopyAnswer(
+        1, {"operator": copy}, {"s1": outstanding.ServerWork(5.0, 2)}
+    )
 
 
 @pytest.mark.parametrize("value", [None, b"", b"{}", bytes(range(256))])
--- a/tests/relay/peers/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -240,8 +240,8 @@
     servers = [each.relay.state.router.fleet.servers for each in pair]
     await until(lambda: all("a" in each for each in servers))
     servers[0]["a"].work, servers[1]["a"].work = 300.0, 20.0
-    await until(lambda: servers[1]["a"].others_work == 300.0)
-    await until(lambda: servers[0]["a"].others_work == 20.0)
+    await until(lambda: servers[1]["a"].told.work == 300.0)
+    await until(lambda: servers[0]["a"].told.work == 20.0)
 
 
 async def test_one_host_writes_the_counts_of_both(
