Tell no work to a host that may ask back

While the store is away a host asks any others, which may ask it; each added what the other had told to its own, so the sum doubled with every round. Work alone was a float and grew unseen to 1e21 in 12 s, which made the ranking of engines arbitrary in every outage of the store.

Ruled out: a cap on the sums; they would still be wrong.

Change: work is told, and taken, along the order that all hosts share, where nobody asks one that asks it.

--- a/src/hoistmoor/relay/peers/peers.py
+++ b/src/hoistmoor/relay/peers/peers.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import mirror
     from hoistmoor.core.relay.beliefs import topics
+    from hoistmoor.core.relay.servers import outstanding
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.peers import peer_client
 
@@ -255,18 +256,28 @@
         if self._gate.is_heard or self._age() <= reading.OLDEST_OWN:
             return ""
         for host in self._sources.any_others(self._state.clock()):
-            if await self._ask(host):
+            if await self._ask(host, is_before=False):
                 return host.name
         return ""
 
-    async def _ask(self, host: mirror.Host) -> bool:
-        """Returns whether a host answered with something current."""
+    async def _ask(self, host: mirror.Host, *, is_before: bool = True) -> bool:
+        """Returns whether a host answered with something current.
+
+        Args:
+            host: The host.
+            is_before: Whether it stands before this one in the order that all
+                hosts share. If not, the two may ask each other, and work that
+                is told in a circle would be counted again in each round.
+        """
+        work: outstanding.WorkByServer = {}
+        if is_before:
+            work = self._state.outstanding.told_to_source(
+                self._state.router.fleet.own_work(), self._state.clock()
+            )
         asked = peer_codec.CopyRequest(
             {name: each.next_offset for name, each in self._followers.items()},
             self._sources.own,
-            self._state.outstanding.told_to_source(
-                self._state.router.fleet.own_work(), self._state.clock()
-            ),
+            work,
             self._state.known_evidence(),
             self._state.look_for_doubts(),
             self._state.router.rollouts.ages(self._state.clock()),
@@ -289,6 +300,8 @@
             return False
         self._state.depth = answer.depth + 1
         self._stale.discard(host.name)
+        if is_before:
+            self._state.outstanding.take_rest(answer.work, sent_at)
         self._take(answer, sent_at)
         return True
 
@@ -300,7 +313,6 @@
         self._state.log.write("host_stale", peer=host.name, age=round(age, 3))
 
     def _take(self, answer: peer_codec.CopyAnswer, sent_at: float) -> None:
-        self._state.outstanding.take_rest(answer.work, sent_at)
         self._state.look_for_doubts(answer.doubts)
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
--- a/tests/relay/peers/test_relay_swarm.py
+++ b/tests/relay/peers/test_relay_swarm.py
@@ -205,3 +205,28 @@
         assert_within(await evacuate(swarm, "north", None), 2.0)
 
     relay_swarm.play(monkeypatch, scenario())
+
+
+@pytest.mark.parametrize("hosts", [6, 84])
+def test_work_told_in_circles_does_not_grow(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    # While the store is away, hosts ask any others, which may ask them.
+    async def scenario() -> None:
+        swarm = await calm_swarm(hosts)
+        swarm.store.fault[""] = "silent"
+        swarm.store.wake()
+        most = 0.0
+        for _ in range(60):
+            await asyncio.sleep(0.2)
+            for member in swarm.members:
+                assert member.relay is not None
+                fleet = member.relay.state.router.fleet
+                for each in fleet:
+                    each.work, each.in_flight = 100.0, 1
+                    most = max(most, each.told.work, each.told.requests)
+        assertions.assert_that(most, matchers.GreaterThan(0.0))
+        # A host that changes its source is known at both for a moment.
+        assertions.assert_that(most, matchers.LessThan(3 * 100.0 * hosts))
+
+    relay_swarm.play(monkeypatch, scenario())
