Bound what a cold server gets only where its service states a bound

Cause: by reading. An entry may say that its server is slow for some seconds where its service states no rate for cold servers. Such a server had no hosts that may send to it, so a new server was left idle until it was warm.

Change: without a stated warmup the entry's word bounds nothing.

Measured: the test fails on the commit before. None of the deployments at hand has such a service (a count of their site files).

--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -278,7 +278,10 @@
             state.doubted_until = now + warmup.duration * (1.0 + draw)
 
     def _has_share(self, state: ServerState, now: float) -> bool:
+        """Returns whether this host may send one more to a cold server."""
         entry = state.entry
+        if self.warmups.warmup_of(entry.service) is None:
+            return True  # It is slow for a while, and may be used as any.
         share = self.warmups.share_of(entry.service, entry.identity)
         return state.sends.count(now) < share
 
