Give one backend server a module of its own

Change: moves and imports only; servers/server.py holds the entry, the load report and the state, servers/fleet.py all of them.

--- a/benchmarks/capacity/tree.py
+++ b/benchmarks/capacity/tree.py
@@ -18,8 +18,8 @@
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
-from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
@@ -69,7 +69,7 @@
     )
     for name in _names(engines):
         state.router.fleet.put(
-            fleet_lib.ServerEntry(name, "llm", "10.0.0.1:80")
+            server_lib.ServerEntry(name, "llm", "10.0.0.1:80")
         )
         state.router.fleet.servers[name].work = WORK
     return state
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests
     from hoistmoor.core.relay.placement import router as router_lib
-    from hoistmoor.core.relay.servers import fleet
+    from hoistmoor.core.relay.servers import server as server_lib
 
 _State = outcomes.ExchangeState
 
@@ -65,7 +65,7 @@
         self, request: requests.RelayRequest, router: router_lib.Router
     ) -> None:
         self.request = request
-        self.server: fleet.ServerState | None = None
+        self.server: server_lib.ServerState | None = None
         self.model = _first_model(request)
         self.sent = 0
         self.may_have_run = False
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -7,7 +7,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.placement import partition
-from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.servers import server as server_lib
 
 
 @attrs.frozen
@@ -72,7 +72,7 @@
         is_repeat: Whether a server has got the request before.
     """
 
-    server: fleet.ServerState
+    server: server_lib.ServerState
     model: str
     work_class: partition.WorkClass
     serial: int
--- a/src/hoistmoor/core/relay/placement/partition.py
+++ b/src/hoistmoor/core/relay/placement/partition.py
@@ -16,7 +16,7 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay.servers import fleet
+    from hoistmoor.core.relay.servers import server as server_lib
 
 LONG_FACTOR = 4.0  # Times the mean length that make a prompt a long one.
 LENGTH_STEP = 0.02  # Weight of the newest prompt in the mean length.
@@ -74,7 +74,7 @@
 
 
 def distances(
-    work_class: WorkClass, ready: list[fleet.ServerState]
+    work_class: WorkClass, ready: list[server_lib.ServerState]
 ) -> dict[str, float]:
     """Returns how far servers stand from a class, 0 to 1, by identity."""
     ordered = sorted(ready, key=_place)
@@ -86,5 +86,5 @@
     }
 
 
-def _place(server: fleet.ServerState) -> int:
+def _place(server: server_lib.ServerState) -> int:
     return xxhash.xxh64_intdigest(server.entry.identity.encode())
--- a/src/hoistmoor/core/relay/placement/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests
-    from hoistmoor.core.relay.servers import fleet
+    from hoistmoor.core.relay.servers import server as server_lib
 
 FAR_BIAS = 0.1  # Load, in shares of a server, that a near server may have more.
 # Times as much work that an engine at the far end of the line seems to have.
@@ -43,11 +43,11 @@
 
 
 def pick(
-    ready: list[fleet.ServerState],
+    ready: list[server_lib.ServerState],
     zone: str,
     now: float,
     draws: hashing.Draws,
-) -> fleet.ServerState | None:
+) -> server_lib.ServerState | None:
     """Returns the server for a plain request, or None if there is none.
 
     Args:
@@ -62,7 +62,7 @@
 
 
 def pick_engine(
-    ready: list[fleet.ServerState],
+    ready: list[server_lib.ServerState],
     request: requests.RelayRequest,
     model: str,
     zone: str,
@@ -70,7 +70,7 @@
     mean_work: float,
     draws: hashing.Draws,
     now: float,
-) -> fleet.ServerState | None:
+) -> server_lib.ServerState | None:
     """Returns the engine for a model request, or None if there is none.
 
     Args:
@@ -98,7 +98,7 @@
         candidates.append(holder)
     cached = prompt.shared_tokens * request.weight(model)
 
-    def work_until_done(server: fleet.ServerState) -> float:
+    def work_until_done(server: server_lib.ServerState) -> float:
         waiting = server.waiting_work(mean_work, now)
         own = request.work(model)
         if server is holder:
@@ -113,15 +113,15 @@
 
 
 def _draw(
-    ready: list[fleet.ServerState],
+    ready: list[server_lib.ServerState],
     nearness: dict[str, float],
     draws: hashing.Draws,
-) -> list[fleet.ServerState]:
+) -> list[server_lib.ServerState]:
     """Returns a few servers, near ones more often."""
     if len(ready) <= DRAWN:
         return list(ready)
 
-    def key(server: fleet.ServerState) -> float:
+    def key(server: server_lib.ServerState) -> float:
         uniform = (draws.below(_DRAWS) + 1) / _DRAWS
         return -math.log(uniform) / nearness[server.entry.identity]
 
@@ -129,8 +129,8 @@
 
 
 def _holder(
-    ready: list[fleet.ServerState], key: str, nearness: dict[str, float]
-) -> fleet.ServerState:
+    ready: list[server_lib.ServerState], key: str, nearness: dict[str, float]
+) -> server_lib.ServerState:
     """Returns the server that has the parts of a prompt cached."""
     weights = tuple(
         (each.entry.identity, nearness[each.entry.identity]) for each in ready
@@ -140,7 +140,7 @@
 
 
 def _cost(
-    server: fleet.ServerState, zone: str, now: float, draws: hashing.Draws
+    server: server_lib.ServerState, zone: str, now: float, draws: hashing.Draws
 ) -> float:
     far = FAR_BIAS if server.entry.zone != zone else 0.0
     noise = TIE_NOISE * draws.below(_DRAWS) / _DRAWS
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.relay.versions import rollouts
 
@@ -144,7 +145,7 @@
         excluded: frozenset[str],
         failed: frozenset[str],
         now: float,
-    ) -> fleet_lib.ServerState | None:
+    ) -> server_lib.ServerState | None:
         """Returns the server for the next attempt, or None without one.
 
         Args:
@@ -304,7 +305,7 @@
     def note_answer(
         self,
         request: requests.RelayRequest,
-        server: fleet_lib.ServerState,
+        server: server_lib.ServerState,
         measured: pace_lib.Measured,
     ) -> None:
         """Takes what an attempt showed into account for roll-outs."""
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -1,30 +1,22 @@
-"""Backend servers as their entries, their answers and our own work show them.
-
-Reported load is old when it arrives and many hosts read the same report, so
-the work that this host itself has under way is added to what others have.
-"""
+"""All backend servers that are listed, and which of them may get work now."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
-from hoistmoor.core.routing import health as health_lib
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterator
 
-LOAD_LIFE = 3.0  # Seconds after which a reported load counts no more.
 # Seconds after which the other hosts' own word of their work counts no more.
 WORK_LIFE = 2.0
 # Seconds that a server whose entry lapsed while the store was away is kept:
 # the store lists those that live again within about two seconds.
 LAPSE_GRACE = 2.0
 FULL_REST = 0.25  # Seconds without new work for a server that had no room.
-WORK_STEP = 0.1  # Weight of the newest request in a server's mean work.
 # Seconds without new work for a server that took no connection, and doubled
 # each time that it takes none after them. A server that died has no work, so
 # that it looks the least busy to all hosts.
@@ -40,155 +32,9 @@
 MAX_RESTING = 0.5  # Part of a service's servers that may rest as outliers.
 
 
-@attrs.frozen
-class ServerEntry:
-    """What a backend server tells of itself in the store.
-
-    Attributes:
-        server_id: Its name; another start of it may have the same.
-        service: The service that it belongs to.
-        address: ``ip:port``; may be used again by another server.
-        zone: Its failure domain.
-        version: Version of its software.
-        slots: Requests that it works on at once.
-        is_leaving: Whether it takes no new work.
-        warm_in: Seconds for which it stays slow after its start.
-        models: Models that it has loaded.
-        born: Unix time of its start, in milliseconds; None if it tells none.
-        sequence: Number of the entry, from its start on. It changes with
-            each heartbeat and tells nothing else.
-        identity: Stands for this start of the server and no other.
-    """
-
-    server_id: str
-    service: str
-    address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
-    is_leaving: bool = False
-    warm_in: float = 0.0
-    models: tuple[str, ...] = ()
-    born: int | None = None
-    sequence: int = attrs.field(default=0, eq=False)
-    identity: str = attrs.field(init=False)
-
-    @identity.default
-    def _(self) -> str:
-        if self.born is None:
-            return self.server_id
-        return f"{self.server_id}@{self.born}"
-
-    def is_older_than(self, other: ServerEntry) -> bool:
-        """Returns whether the server wrote it before another entry.
-
-        Without the time of its start nothing is certain: a number that falls
-        back may be a late entry or the first one of a new start.
-        """
-        if self.born is None or other.born is None:
-            return False
-        return (self.born, self.sequence) < (other.born, other.sequence)
-
-
-@attrs.frozen
-class LoadReport:
-    """Load that a server told with an answer.
-
-    Attributes:
-        running: Requests that it worked on.
-        waiting: Requests in its queue.
-        slots: Requests that it works on at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@attrs.define(eq=False)
-class ServerState:
-    """One backend server and what this host knows of it.
-
-    Attributes:
-        entry: As last told.
-        health: How its attempts have gone.
-        in_flight: Requests of this host that it has.
-        work: Work of these for an engine, in prompt tokens.
-        mean_work: Usual work of a request that it got from this host; 0
-            before the first.
-        others: Requests of other hosts that it had when it last told.
-        others_at: When it last told.
-        told: What other hosts have under way at it, as these told.
-        told_until: Until when that counts.
-        lapsed_until: Until when it is kept though its entry went away in
-            doubt; None while it is listed.
-        cold_until: Until when it is cold, as far as is known.
-        doubted_until: Until when it may come back as a new start, of which
-            nothing was read yet.
-        absent_until: Until when it is taken for ended, as another server
-            answers at its address.
-        sends: Requests that this host sent to it lately.
-    """
-
-    entry: ServerEntry
-    health: health_lib.Health = attrs.field(factory=health_lib.Health)
-    in_flight: int = 0
-    work: float = 0.0
-    mean_work: float = 0.0
-    others: int = 0
-    others_at: float = float("-inf")
-    told: outstanding.ServerWork = outstanding.NOTHING
-    told_until: float = float("-inf")
-    lapsed_until: float | None = None
-    cold_until: float = float("-inf")
-    doubted_until: float = float("-inf")
-    absent_until: float = float("-inf")
-    sends: warmup_lib.RecentSends = attrs.field(factory=warmup_lib.RecentSends)
-
-    def is_gone(self, now: float) -> bool:
-        """Returns whether it must get no new work."""
-        is_over = self.lapsed_until is not None and now >= self.lapsed_until
-        return self.entry.is_leaving or is_over or now < self.absent_until
-
-    def others_now(self, now: float) -> int:
-        """Returns the requests of other hosts that it probably has."""
-        return self.others if now - self.others_at < LOAD_LIFE else 0
-
-    def load(self, now: float) -> float:
-        """Returns its requests as a multiple of its slots."""
-        requests = self.in_flight + self.others_now(now)
-        return (requests + 1) / max(1, self.entry.slots)
-
-    def crowding(self, now: float) -> float:
-        """Returns the requests that one more makes, in shares of its slots."""
-        is_told = now < self.told_until
-        others = self.told.requests if is_told else self.others_now(now)
-        return (self.in_flight + others + 1) / self.entry.slots
-
-    def waiting_work(self, usual: float, now: float) -> float:
-        """Returns the work that it has before it.
-
-        Args:
-            usual: Work of a request, for a server not used yet.
-            now: Steady time.
-        """
-        if now < self.told_until:
-            return self.work + self.told.work
-        return self.work + (self.mean_work or usual) * self.others_now(now)
-
-    def note_work(self, work: float) -> None:
-        """Takes a request's work into the mean."""
-        known = self.mean_work or work
-        self.mean_work = known + WORK_STEP * (work - known)
-
-    def take_report(self, report: LoadReport, now: float) -> None:
-        """Notes a load report that came with an answer to this host."""
-        work = report.running + report.waiting
-        self.others = max(0, work - self.in_flight)
-        self.others_at = now
-
-
-def _is_same_server(known: ServerEntry, entry: ServerEntry) -> bool:
+def _is_same_server(
+    known: server_lib.ServerEntry, entry: server_lib.ServerEntry
+) -> bool:
     return (known.identity, known.service) == (entry.identity, entry.service)
 
 
@@ -207,18 +53,18 @@
         Args:
             own: Name of this host.
         """
-        self.servers: dict[str, ServerState] = {}
+        self.servers: dict[str, server_lib.ServerState] = {}
         self.warmups = warmup_lib.WarmupShares(own)
         self.evacuated: frozenset[str] = frozenset()
-        self._by_service: dict[str, dict[str, ServerState]] = {}
+        self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
         # Last entries of servers that went, oldest first.
-        self._removed: dict[str, ServerEntry] = {}
+        self._removed: dict[str, server_lib.ServerEntry] = {}
 
-    def __iter__(self) -> Iterator[ServerState]:
+    def __iter__(self) -> Iterator[server_lib.ServerState]:
         """Yields all servers."""
         return iter(tuple(self.servers.values()))
 
-    def put(self, entry: ServerEntry, now: float = 0.0) -> bool:
+    def put(self, entry: server_lib.ServerEntry, now: float = 0.0) -> bool:
         """Takes an entry; returns whether it changes what to do.
 
         Another start of a server is a new server, of which nothing is known
@@ -244,7 +90,7 @@
         self._note_cold(entry, now)
         return changed
 
-    def _note_cold(self, entry: ServerEntry, now: float) -> None:
+    def _note_cold(self, entry: server_lib.ServerEntry, now: float) -> None:
         if entry.warm_in > 0.0:
             state = self.servers[entry.server_id]
             state.cold_until = max(state.cold_until, now + entry.warm_in)
@@ -262,7 +108,9 @@
             if warmup is not None and each.entry.zone in ended:
                 each.cold_until = max(each.cold_until, now + warmup.duration)
 
-    def doubt(self, state: ServerState, now: float, draw: float) -> None:
+    def doubt(
+        self, state: server_lib.ServerState, now: float, draw: float
+    ) -> None:
         """Notes that a server took no connection.
 
         It may come back cold some time before that is read. The hosts' doubts
@@ -277,7 +125,7 @@
         if warmup is not None:
             state.doubted_until = now + warmup.duration * (1.0 + draw)
 
-    def _has_share(self, state: ServerState, now: float) -> bool:
+    def _has_share(self, state: server_lib.ServerState, now: float) -> bool:
         """Returns whether this host may send one more to a cold server."""
         entry = state.entry
         if self.warmups.warmup_of(entry.service) is None:
@@ -285,15 +133,19 @@
         share = self.warmups.share_of(entry.service, entry.identity)
         return state.sends.count(now) < share
 
-    def _replace(self, known: ServerState | None, entry: ServerEntry) -> None:
+    def _replace(
+        self,
+        known: server_lib.ServerState | None,
+        entry: server_lib.ServerEntry,
+    ) -> None:
         if known is not None:
             self._forget(known)
-        state = ServerState(entry)
+        state = server_lib.ServerState(entry)
         self.servers[entry.server_id] = state
         pool = self._by_service.setdefault(entry.service, {})
         pool[entry.server_id] = state
 
-    def _forget(self, state: ServerState) -> None:
+    def _forget(self, state: server_lib.ServerState) -> None:
         server_id = state.entry.server_id
         del self.servers[server_id]
         del self._by_service[state.entry.service][server_id]
@@ -356,7 +208,7 @@
         versions: Container[str],
         excluded: Container[str],
         now: float,
-    ) -> list[ServerState]:
+    ) -> list[server_lib.ServerState]:
         """Returns the servers that may get new work.
 
         Outliers and full servers are left out while enough others remain.
@@ -390,7 +242,9 @@
         """Returns the versions of a service's servers that may get work."""
         return {each.entry.version for each in self._usable(service, now)}
 
-    def _usable(self, service: str, now: float) -> Iterator[ServerState]:
+    def _usable(
+        self, service: str, now: float
+    ) -> Iterator[server_lib.ServerState]:
         """Yields the servers of a service that may get new work at all."""
         for each in self._by_service.get(service, {}).values():
             if each.is_gone(now) or each.entry.zone in self.evacuated:
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -8,7 +8,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import configuration
-from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import rollouts
 from hoistmoor.platform import fields as fields_lib
 
@@ -68,10 +68,10 @@
         zone = record.key.removeprefix(_EVACUATION_PREFIX)
         return None if zone == record.key else zone
 
-    def server(self, record: topics.Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns a backend server's entry."""
         fields = _load(record, fields_lib.SERVER)
-        return fleet.ServerEntry(
+        return server_lib.ServerEntry(
             server_id=record.key,
             service=fields["service"],
             address=fields["address"],
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -5,7 +5,7 @@
 import attrs
 
 from hoistmoor.core.relay.course import requests
-from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.servers import server as server_lib
 
 # Of one connection only (RFC 9110, 7.6.1), or set anew for each.
 HOP_BY_HOP = frozenset(
@@ -76,13 +76,13 @@
         )
 
 
-def parse_load(text: str | None) -> fleet.LoadReport | None:
+def parse_load(text: str | None) -> server_lib.LoadReport | None:
     """Returns a load report, or None if there is none that can be read."""
     numbers = _numbers(text)
     if len(numbers) != 3:
         return None
     running, waiting, slots = numbers
-    return fleet.LoadReport(running, waiting, slots)
+    return server_lib.LoadReport(running, waiting, slots)
 
 
 def parse_confidence(text: str | None) -> float | None:
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import rollouts
 from hoistmoor.relay.versions import rollout_codec
@@ -176,7 +177,7 @@
         )
         return True
 
-    def _read(self, record: topics.Record) -> fleet_lib.ServerEntry:
+    def _read(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns the entry that a record holds.
 
         Where servers tell when they started, all do.
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import configuration
     from hoistmoor.core.relay.beliefs import topics
-    from hoistmoor.core.relay.servers import fleet
+    from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.core.relay.versions import rollouts
 
 
@@ -88,7 +88,7 @@
         is about something else.
         """
 
-    def server(self, record: topics.Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns a backend server's entry."""
 
     def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
--- a/tests/core/relay/placement/test_relay_placement.py
+++ b/tests/core/relay/placement/test_relay_placement.py
@@ -16,15 +16,16 @@
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
 DRAWS = hashing.Draws.seeded(3)
 
 
-def engines(count: int) -> list[fleet_lib.ServerState]:
+def engines(count: int) -> list[server_lib.ServerState]:
     return [
-        fleet_lib.ServerState(
+        server_lib.ServerState(
             relay_parts.entry(f"e{number}", service="llm", slots=64)
         )
         for number in range(count)
@@ -32,7 +33,7 @@
 
 
 def pick_engine(
-    ready: list[fleet_lib.ServerState], model: str = "small"
+    ready: list[server_lib.ServerState], model: str = "small"
 ) -> str:
     request = relay_parts.request(relay_parts.CHAT)
     work_class = partition.WorkClass(relay_parts.SIZES.index(model), 3, False)
@@ -51,8 +52,8 @@
 
 
 def test_a_near_server_is_taken_until_it_is_busier() -> None:
-    near = fleet_lib.ServerState(relay_parts.entry("near", zone="a"))
-    far = fleet_lib.ServerState(relay_parts.entry("far", zone="b"))
+    near = server_lib.ServerState(relay_parts.entry("near", zone="a"))
+    far = server_lib.ServerState(relay_parts.entry("far", zone="b"))
     found = placement.pick([far, near], "a", NOW, DRAWS)
     assertions.assert_that(found, matchers.Is(near))
     near.in_flight = 3
@@ -83,7 +84,7 @@
     more: float, chosen: str
 ) -> None:
     ready = [
-        fleet_lib.ServerState(
+        server_lib.ServerState(
             relay_parts.entry(zone, service="llm", zone=zone), work=work
         )
         for zone, work in (("near", more * 1e6), ("far", 1e6))
@@ -107,7 +108,7 @@
     # many of them as slots and little work; the far ones have slots left and
     # more work, of large models.
     ready = [
-        fleet_lib.ServerState(
+        server_lib.ServerState(
             relay_parts.entry(f"e{number}", service="llm", slots=16)
         )
         for number in range(70)
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -12,6 +12,7 @@
 
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import server as server_lib
 
 NOW = 100.0
 
@@ -30,7 +31,7 @@
     return made
 
 
-def entry(**fields: Any) -> fleet_lib.ServerEntry:
+def entry(**fields: Any) -> server_lib.ServerEntry:
     """Returns an entry of the server."""
     return relay_parts.entry("a", **fields)
 
@@ -40,7 +41,7 @@
     news = fleet.put(entry(born=2000, sequence=1))
     assertions.assert_that(news, matchers.Is(True))
     found = fleet.servers["a"]
-    fresh = fleet_lib.ServerState(entry(born=2000, sequence=1))
+    fresh = server_lib.ServerState(entry(born=2000, sequence=1))
     assertions.assert_that(
         attrs.asdict(found), matchers.Equals(attrs.asdict(fresh))
     )
--- a/tests/core/relay/servers/test_relay_outstanding.py
+++ b/tests/core/relay/servers/test_relay_outstanding.py
@@ -12,6 +12,7 @@
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
@@ -71,7 +72,7 @@
     None
 ):
     ready = [
-        fleet_lib.ServerState(
+        server_lib.ServerState(
             relay_parts.entry(f"e{number}", service="llm", slots=64)
         )
         for number in range(40)
--- a/tests/core/relay/servers/test_relay_warmup.py
+++ b/tests/core/relay/servers/test_relay_warmup.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.routing import hashing
 
@@ -44,7 +45,7 @@
     return made
 
 
-def entry(server_id: str, **fields: Any) -> fleet_lib.ServerEntry:
+def entry(server_id: str, **fields: Any) -> server_lib.ServerEntry:
     """Returns the entry of an engine."""
     return relay_parts.entry(server_id, service="llm", **fields)
 
--- a/tests/relay_parts.py
+++ b/tests/relay_parts.py
@@ -8,7 +8,7 @@
 
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import requests
-from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.servers import server as server_lib
 
 Kind = configuration.RouteKind
 
@@ -60,7 +60,7 @@
 )
 
 
-def entry(server_id: str = "s0", **fields: Any) -> fleet.ServerEntry:
+def entry(server_id: str = "s0", **fields: Any) -> server_lib.ServerEntry:
     """Returns a server's entry."""
     defaults = {
         "service": "desk",
@@ -68,7 +68,7 @@
         "version": "v1",
         "slots": 4,
     }
-    return fleet.ServerEntry(server_id, **{**defaults, **fields})
+    return server_lib.ServerEntry(server_id, **{**defaults, **fields})
 
 
 def request(
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -12,7 +12,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.beliefs import topics
-from hoistmoor.core.relay.servers import fleet
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import rollouts
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.store import ports
@@ -102,10 +102,10 @@
         zone = record.key.removeprefix("empty-")
         return None if zone == record.key else zone
 
-    def server(self, record: topics.Record) -> fleet.ServerEntry:
+    def server(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns the entry that the record names."""
         found = self.known.get(record.value or b"")
-        if not isinstance(found, fleet.ServerEntry):
+        if not isinstance(found, server_lib.ServerEntry):
             raise errors.CodecError("unreadable", "Look at it.")
         return found
 
