--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -201,8 +201,8 @@
         """Whether a server has got the request.
 
         The budget is for what servers get more than once. While a quarter of
-        them were dead, 1,093 of 1,342 refusals in 30 s were of requests that
-        no server had got (a log of a played day, 84 hosts).
+        them were dead, no server had got 1,093 of 1,335 requests that were
+        refused as not run (a log of a played day, 84 hosts).
         """
         return self._runs + self._declined > 0
 
