Note unreadable records in one place

Change: RelayState.note_unreadable serves all listeners; the names are taken where an update has records.

Ruled out for now: one decoder for peer_codec and rollout_codec, and one check of addresses for platform/fields and utils/addresses: the first also meets compressed values, the second takes more than the wire allows.

Behaviour is the same.

--- a/src/hoistmoor/relay/peers/peers.py
+++ b/src/hoistmoor/relay/peers/peers.py
@@ -61,13 +61,9 @@
             try:
                 self._sources.put(peer_codec.decode_host(record.value))
             except ValueError as error:
-                self._state.believe(
-                    "host_unreadable",
-                    key=record.key,
-                    offset=record.offset,
-                    detail=str(error),
-                )
-        self._state.router.fleet.warmups.take_hosts(self._sources.hosts)
+                self._state.note_unreadable("host", record, error)
+        if update.batch.records:  # Most updates bring none.
+            self._state.router.fleet.warmups.take_hosts(self._sources.hosts)
         return update.batch.records
 
 
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -8,6 +8,7 @@
 
 from hoistmoor.core.relay.beliefs import configuration as configuration_lib
 from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
@@ -65,6 +66,17 @@
         self.log.write(kind, **fields)
         self.counters.beliefs.labels(kind).inc()
 
+    def note_unreadable(
+        self, kind: str, record: topics.Record, error: Exception
+    ) -> None:
+        """Writes and counts a record that says nothing that can be used."""
+        self.believe(
+            f"{kind}_unreadable",
+            key=record.key,
+            offset=record.offset,
+            detail=str(error),
+        )
+
     def known_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host and of those that ask it.
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -19,21 +19,6 @@
     from hoistmoor.relay.store import ports
 
 
-def _note_unreadable(
-    state: state_lib.RelayState,
-    kind: str,
-    record: topics.Record,
-    error: Exception,
-) -> None:
-    """Logs and counts a record that says nothing that can be used."""
-    state.believe(
-        f"{kind}_unreadable",
-        key=record.key,
-        offset=record.offset,
-        detail=str(error),
-    )
-
-
 class OperatorListener:
     """Takes configurations, roll-out orders and evacuations."""
 
@@ -47,7 +32,7 @@
             try:
                 self._take(record)
             except errors.CodecError as error:
-                _note_unreadable(self._state, "operator", record, error)
+                self._state.note_unreadable("operator", record, error)
         self._take_evacuations(update.batch)
         if self._state.configuration is not None:
             self._state.lease.prove(update.current_at)
@@ -158,7 +143,7 @@
         except errors.CodecError as error:
             # Another writer's: what the server itself has said still holds.
             if self._unreadable.get(record.key) != record.offset:
-                _note_unreadable(self._state, "server", record, error)
+                self._state.note_unreadable("server", record, error)
             self._unreadable[record.key] = record.offset
             return False
         was_unreadable = self._unreadable.pop(record.key, None) is not None
@@ -223,7 +208,7 @@
             try:
                 phase = rollout_codec.decode_phase(record.value)
             except ValueError as error:
-                _note_unreadable(self._state, "phase", record, error)
+                self._state.note_unreadable("phase", record, error)
                 continue
             if self._state.router.rollouts.take_phase(phase):
                 self._state.believe(
@@ -257,7 +242,7 @@
             try:
                 report = rollout_codec.decode_report(record.value)
             except ValueError as error:
-                _note_unreadable(self._state, "evidence", record, error)
+                self._state.note_unreadable("evidence", record, error)
                 continue
             self._heard[report.run_name] = self._state.clock()
             for evidence in report.evidence:
