Tell which request an attempt was of, and that a server has ended

Cause: no line told a request from its next try, nor an end of a server from a cut connection, so the three hypotheses could not be told apart.

Change: a request has a fingerprint of method, host, path, account and body, in its line. After a cut one connection to the server is tried, one for all attempts that were cut together; if it is refused, a line server_ended lists what the server had of this host. No decision changes.

Ruled out: asking the health page (takes a slot, is a probe); waiting for the entry to lapse (3.6 s).

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.servers import runs
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests
@@ -239,6 +240,7 @@
             self.request.deadline,
             self._patience(now),
             self._has_arrived,
+            runs.Run(self.request.fingerprint),
         )
         self._router.note_sent(self.request, send, now)
         self.sent += 1
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -7,6 +7,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import server as server_lib
 
 
@@ -70,6 +71,7 @@
         patience: Seconds without a byte after which the attempt is given up;
             None to wait until the deadline.
         is_repeat: Whether a server has got the request before.
+        run: Its stay at the server.
     """
 
     server: server_lib.ServerState
@@ -79,6 +81,7 @@
     deadline: float
     patience: float | None = None
     is_repeat: bool = False
+    run: runs.Run = attrs.field(factory=runs.Run)
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/course/requests.py
+++ b/src/hoistmoor/core/relay/course/requests.py
@@ -74,6 +74,8 @@
         last_event: Newest event that the caller has; None for none.
         priority: Its client account's, or else its route's; 0 is the most
             urgent.
+        fingerprint: The same for each try of the same request; empty until
+            the body is read.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     session: str = ""
     last_event: int | None = None
     priority: int = 0
+    fingerprint: str = ""
 
     def work(self, model: str) -> float:
         """Returns the work for an engine that has nothing cached.
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -222,6 +222,7 @@
         server = send.server
         server.in_flight += 1
         server.sends.note(now)
+        server.runs.add(send.run)
         if request.prompt is not None:
             work = request.work(send.model)
             server.work += work
@@ -254,6 +255,7 @@
                 request.session, server.entry.version, now
             )
         server.in_flight -= 1
+        server.runs.end(send.run, now)
         self._service(request.service).delays.end(
             send.work_class, send.serial, now, answered=False
         )
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
 from hoistmoor.core.routing import health as health_lib
 
@@ -104,6 +105,8 @@
         absent_until: Until when it is taken for ended, as another server
             answers at its address.
         sends: Requests that this host sent to it lately.
+        runs: This host's requests that it may be at.
+        has_ended: Whether this start of it is over, as this host found.
     """
 
     entry: ServerEntry
@@ -120,6 +123,8 @@
     doubted_until: float = float("-inf")
     absent_until: float = float("-inf")
     sends: warmup_lib.RecentSends = attrs.field(factory=warmup_lib.RecentSends)
+    runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
+    has_ended: bool = False
 
     def is_gone(self, now: float) -> bool:
         """Returns whether it must get no new work."""
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -27,6 +27,7 @@
 from hoistmoor.relay.front import admission
 from hoistmoor.relay.front import front as front_lib
 from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import server_ends
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import peers
 from hoistmoor.relay.store import follower
@@ -125,7 +126,12 @@
         self.front = front_lib.Front(
             self.state,
             admission.Admission(self.state, platform.headers, draws),
-            relay_task.Links(backends, platform.headers, dialect),
+            relay_task.Links(
+                backends,
+                platform.headers,
+                dialect,
+                server_ends.ServerEnds(self.state),
+            ),
             draws,
         )
         self.settings_task = settings_task.SettingsTask(
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -38,6 +38,7 @@
         events_before: Events of the stream that attempts before it brought.
         body: Parts of an answer that is not a stream.
         is_dropped: Whether it was given up for a larger model's answer.
+        is_cut: Whether the connection ended before the answer did.
         detail: What went wrong, for people.
     """
 
@@ -51,6 +52,7 @@
     events_before: int = 0
     body: list[bytes] = attrs.field(factory=list)
     is_dropped: bool = False
+    is_cut: bool = False
     detail: str = ""
 
     def note_events(self, now: float) -> None:
--- a/src/hoistmoor/relay/front/front.py
+++ b/src/hoistmoor/relay/front/front.py
@@ -6,9 +6,11 @@
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
+import attrs
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
+from hoistmoor.core.relay.course import fingerprint
 from hoistmoor.core.relay.course import retry_after
 from hoistmoor.relay.front import admission as admission_lib
 from hoistmoor.relay.front import caller_answer
@@ -79,9 +81,15 @@
                 str(error),
             )
             return await self._refuse(head, answer, refusal)
-        self._state.router.note_request(admitted, self._state.clock())
+        named = attrs.evolve(
+            admitted,
+            fingerprint=fingerprint.of_request(
+                head.method, head.host, head.target, admitted.account, body
+            ),
+        )
+        self._state.router.note_request(named, self._state.clock())
         task = relay_task.RelayTask(
-            self._state, self._links, head, admitted, body, answer
+            self._state, self._links, head, named, body, answer
         )
         return await task.run()
 
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -19,6 +19,7 @@
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import forwarding
 from hoistmoor.relay.front import header_names
+from hoistmoor.relay.front import server_ends
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -30,6 +31,9 @@
 
 _State = outcomes.ExchangeState
 
+# Where an exchange ends so, the server is not at the request any more.
+_OVER = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
+
 CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
 
 
@@ -62,11 +66,13 @@
         sessions: Open connections to them.
         names: What headers are called.
         dialect: How servers name an attempt and decline it.
+        ends: Tells which servers have ended.
     """
 
     sessions: BackendSessions
     names: header_names.HeaderNames
     dialect: dialect_lib.Dialect
+    ends: server_ends.ServerEnds
 
 
 class RelayTask:
@@ -127,11 +133,14 @@
             outcome = attempt.outcome(
                 state, self._links.dialect.not_run_statuses
             )
+            send.run.is_over = state in _OVER
         finally:
             attempt.exchange.cancel()
             self._state.router.note_ended(
                 self._request, send, outcome, self._now()
             )
+        if attempt.is_cut:
+            await self._links.ends.has_ended(send.server)
         self._note_attempt(attempt, state)
         is_late = self._now() >= self._request.deadline
         if is_late and state is not _State.ANSWERED:
@@ -190,6 +199,7 @@
             streams.StreamOrderError,
         ) as error:
             attempt.detail = error.problem
+            attempt.is_cut = isinstance(error, exchange_errors.BackendCutError)
             state = attempt.exchange.state
             return _State.ANSWERING if state is _State.ANSWERED else state
         return attempt.exchange.state
@@ -220,6 +230,7 @@
             return
         self._check_genuine(attempt, head)
         attempt.head = head
+        attempt.send.run.note_head(self._now())
         self._state.router.note_first(self._request, attempt.send, self._now())
         confidence = header_names.parse_confidence(
             head.headers.get(names.confidence)
@@ -254,11 +265,13 @@
         self, attempt: attempt_lib.Attempt, data: bytes
     ) -> None:
         if not self._passes(attempt):
+            attempt.send.run.note_part()
             attempt.body.append(data)
             return
         events = self._sequence.feed(data)
         if not events:
             return
+        attempt.send.run.note_part()
         attempt.note_events(self._now())
         if self._answer.response is None:
             assert attempt.head is not None
@@ -295,6 +308,7 @@
         self._state.log.write(
             "request",
             id=self._request.request_id,
+            fingerprint=self._request.fingerprint,
             route=route.name,
             service=self._request.service,
             account=self._request.account,
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -11,6 +11,7 @@
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
+from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
@@ -77,6 +78,22 @@
             detail=str(error),
         )
 
+    def note_server_end(self, server: server_lib.ServerState) -> None:
+        """Notes that a start of a server is over, as this host found."""
+        if server.has_ended:
+            return
+        server.has_ended = True
+        now = self.clock()
+        self.believe(
+            "server_ended",
+            server=server.entry.server_id,
+            service=server.entry.service,
+            runs=[
+                f"{run.fingerprint} {run.stage} {run.lasted(now):.3f}s"
+                for run in server.runs.present(now)
+            ],
+        )
+
     def known_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host and of those that ask it.
 
