Refuse a request that ends the servers which run it

Cause: an end of a server was the server's fault alone, and an attempt of a request that may be at fault was repeated like any other.

Change: a host keeps what is held against requests (core/relay/servers/ suspects): strikes by server and by how far the run had come, weighed against the other requests that were there; a whole answer clears. Two ends as the run began, or four others, convict. A convicted request is refused at once, not run if no server got it, with the time that is left. An end uses up no attempt of a request that merely ran there, three times at most.

Left: hosts do not tell one another yet, and a restart forgets.

--- a/src/hoistmoor/core/refusals.py
+++ b/src/hoistmoor/core/refusals.py
@@ -46,6 +46,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_CUT = "backend_cut"
     BACKEND_ERROR = "backend_error"
+    ENDS_SERVERS = "ends_servers"
     CALLER_LEFT = "caller_left"
     INTERNAL = "internal"
 
@@ -175,6 +176,11 @@
     Reason.BACKEND_ERROR: Rule(
         HTTPStatus.BAD_GATEWAY, _SOON, "Look at the outcome before retrying."
     ),
+    Reason.ENDS_SERVERS: Rule(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        _FIX,
+        "Change the request; servers that ran it have crashed.",
+    ),
     Reason.CALLER_LEFT: Rule(
         HTTPStatus.REQUEST_TIMEOUT, _SOON, "Keep the connection open."
     ),
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from functools import singledispatchmethod
+import math
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import outcomes
@@ -33,6 +34,8 @@
 # are drawn evenly, one request in 81 meets four of these in a row, and one in
 # 6,561 meets eight.
 MAX_UNREACHABLE = 8
+# Servers that may end under one request without using up its attempts.
+MAX_SPARED = 3
 # A silent server is given up after so many times the route's target, if the
 # request may run again: the caller still gets its answer from another one.
 PATIENCE_FACTOR = 3.0
@@ -74,6 +77,7 @@
         self._runs = 0
         self._declined = 0
         self._unreachable = 0
+        self._spared = 0  # Attempts whose servers ended beside the request.
         self._begun = False  # Whether the caller has part of an answer.
         self._escalating = False
         self._settled = False  # Whether a small answer will do by now.
@@ -179,8 +183,24 @@
             self._declined += 1
             return
         self.may_have_run = True
+        if event.server_ended and self._spares_attempt():
+            self._spared += 1
+            return
         self._runs += 1
 
+    def _spares_attempt(self) -> bool:
+        """Returns whether a server's end uses up none of the attempts.
+
+        A request that merely ran there is not to be given up for it.
+        """
+        suspects = self._router.suspects
+        return self._spared < MAX_SPARED and suspects.is_bystander(
+            self.request.fingerprint
+        )
+
+    def _is_convicted(self, now: float) -> bool:
+        return self._router.suspects.is_convicted(self.request.fingerprint, now)
+
     def _may_try_again(self, state: outcomes.ExchangeState, now: float) -> bool:
         request = self.request
         if request.deadline - now < LEAST_TIME:
@@ -205,7 +225,7 @@
         them were dead, no server had got 1,093 of 1,335 requests that were
         refused as not run (a log of a played day, 84 hosts).
         """
-        return self._runs + self._declined > 0
+        return self._runs + self._spared + self._declined > 0
 
     @_on.register
     def _(self, event: messages.DeadlineReached, now: float) -> messages.Effect:
@@ -220,6 +240,8 @@
         self._begun = True
 
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
+        if self._is_convicted(now):
+            return self._refuse_convicted(now)
         work_class = self._router.class_of(self.request, self.model)
         server = self._router.pick(
             self.request,
@@ -247,6 +269,11 @@
         self.server = server
         return send
 
+    def _refuse_convicted(self, now: float) -> messages.Effect:
+        self._detail = "servers that ran this request have crashed"
+        left = self._router.suspects.left_for(self.request.fingerprint, now)
+        return self._give_up(refusals.Reason.ENDS_SERVERS, math.ceil(left))
+
     def _patience(self, now: float) -> float | None:
         route = self.request.route
         last = self._runs + 1 >= route.max_attempts
@@ -258,13 +285,17 @@
             return min(usual, max(LEAST_PATIENCE, left * PATIENCE_SHARE))
         return max(LEAST_PATIENCE, route.target * PATIENCE_FACTOR)
 
-    def _give_up(self, reason: refusals.Reason) -> messages.Effect:
+    def _give_up(
+        self, reason: refusals.Reason, retry_after: int | None = None
+    ) -> messages.Effect:
         if self._begun:
             return messages.Break(self._detail)
         outcome = outcomes.Outcome.NOT_RUN
         if self.may_have_run:
             outcome = outcomes.Outcome.UNKNOWN
-        return messages.Refuse(refusals.Refusal(reason, outcome, self._detail))
+        return messages.Refuse(
+            refusals.Refusal(reason, outcome, self._detail, retry_after)
+        )
 
 
 def _first_model(request: requests.RelayRequest) -> str:
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -37,11 +37,13 @@
         state: How far its exchange had come.
         status: HTTP status code of the answer; 0 without one.
         detail: What went wrong, for people.
+        server_ended: Whether the server ended meanwhile.
     """
 
     state: outcomes.ExchangeState
     status: int = 0
     detail: str = ""
+    server_ended: bool = False
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -17,11 +17,12 @@
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import suspects as suspects_lib
 from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from hoistmoor.core.relay.course import messages
     from hoistmoor.core.relay.course import requests
@@ -84,6 +85,7 @@
         fleet: Backend servers.
         rollouts: Roll-outs and versions.
         paces: Usual durations of answers.
+        suspects: Requests that may end the servers that run them.
         zone: Failure domain of this host.
     """
 
@@ -102,6 +104,7 @@
         self.fleet.warmups.take_excess(bounds.warmup_excess)
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
+        self.suspects = suspects_lib.SuspectBook()
         self.zone = zone
         self._bounds = bounds
         self._draws = draws
@@ -304,6 +307,36 @@
             fleet_lib.LONGEST_UNREACHABLE_REST,
         )
 
+    def note_server_end(
+        self, server: server_lib.ServerState, now: float
+    ) -> None:
+        """Notes that a start of a server is over, as this host found.
+
+        Args:
+            server: The server.
+            now: Steady time.
+        """
+        server.has_ended = True
+        # Whoever looks the least busy would get the next requests.
+        server.absent_until = now + fleet_lib.ABSENT
+        self.suspects.note_end(
+            server.entry.identity, server.runs.present(now), now
+        )
+
+    def take_suspects(
+        self, told: Iterable[suspects_lib.Suspect], now: float
+    ) -> None:
+        """Takes what another host holds against requests.
+
+        Args:
+            told: Its suspects.
+            now: Steady time.
+        """
+        for identity in self.suspects.take(told, now):
+            server = self.fleet.find(identity)
+            if server is not None:
+                server.absent_until = now + fleet_lib.ABSENT
+
     def note_answer(
         self,
         request: requests.RelayRequest,
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -95,6 +95,12 @@
             state = self.servers[entry.server_id]
             state.cold_until = max(state.cold_until, now + entry.warm_in)
 
+    def find(self, identity: str) -> server_lib.ServerState | None:
+        """Returns the server with an identity, if its start is known."""
+        found = self.servers.get(server_lib.id_of(identity))
+        is_it = found is not None and found.entry.identity == identity
+        return found if is_it else None
+
     def evacuate(self, zones: frozenset[str], now: float) -> None:
         """Takes which failure domains get no new work from now on.
 
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -17,6 +17,14 @@
 WORK_STEP = 0.1  # Weight of the newest request in a server's mean work.
 
 
+_BORN = "@"  # Between a server's id and its start, in its identity.
+
+
+def id_of(identity: str) -> str:
+    """Returns the id of the server with an identity."""
+    return identity.partition(_BORN)[0]
+
+
 @attrs.frozen
 class ServerEntry:
     """What a backend server tells of itself in the store.
@@ -54,7 +62,7 @@
     def _(self) -> str:
         if self.born is None:
             return self.server_id
-        return f"{self.server_id}@{self.born}"
+        return f"{self.server_id}{_BORN}{self.born}"
 
     def is_older_than(self, other: ServerEntry) -> bool:
         """Returns whether the server wrote it before another entry.
--- /dev/null
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -0,0 +1,375 @@
+"""Which requests end the servers that run them.
+
+The load that it answers: one request ends each server that begins to run it,
+and comes again, at any host. Unless the hosts tell one another, it ends all
+servers of its service again and again, and each end costs all that ran beside
+it.
+
+When a server ends, each request that it had is a suspect, with a strike that
+says how far its run had come. Most of them merely ran beside the one that is
+to blame, or the server ended by itself, so a strike says little by itself:
+
+- A run that had begun and given nothing, the only such one there, is what a
+  crash at the begin of a run looks like. Two of them, at two servers, convict.
+  Of 375 requests that were cut beside such a one, 80 of them three times or
+  more, none was ever cut so (log of a played day, 7 hosts and 6 servers).
+- Other strikes count where no other request is the likelier cause of that end,
+  once the other hosts have had time to tell of theirs. Four of them convict.
+- A whole answer clears: what was held against the request until then is void.
+
+A convicted request is refused. What is known of a suspect only grows, so hosts
+merge what they are told in any order, and need not agree on who tells first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hoistmoor.core.relay.servers import runs as runs_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Servers that a request has ended, as its run had begun, until it is refused.
+# One may be chance; a third one would cost a service of six half its servers.
+CONVICTING_STARTS = 2
+# Servers that it may have ended in any other way. Four, as a request that runs
+# beside it may be cut at three of them in a row by chance.
+CONVICTING_ENDS = 4
+# Seconds from a run's begin to the server's end within which it may be the
+# cause; a request that ends a server does so as it begins to run.
+AT_BEGIN = 1.0
+# Seconds after which the other hosts' strikes for the same end are known, two
+# hosts between.
+SETTLED = 1.0
+MOST_SUSPECTS = 256  # Requests with strikes, at most; a server has 64 at once.
+MOST_CONVICTED = 256  # Requests that are refused, at most.
+MOST_STRIKES = 8  # Newest ones that are kept of a request.
+MOST_TOLD = 32  # Suspects in one message: 4 KB.
+# Seconds for which a convicted request is refused; the servers' software may
+# be mended by then.
+CONVICTION = 3600.0
+
+
+@attrs.frozen
+class Suspect:
+    """What is held against one request, as hosts tell it.
+
+    Attributes:
+        fingerprint: Of the request.
+        strikes: How far its run had come, by the identity of the server that
+            ended; the newest last.
+        void: Servers whose ends count no more, as it was answered since.
+        is_refused: Whether it was convicted.
+        age: Seconds since its newest strike.
+    """
+
+    fingerprint: str
+    strikes: dict[str, runs_lib.Stage] = attrs.field(factory=dict)
+    void: tuple[str, ...] = ()
+    is_refused: bool = False
+    age: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Case:
+    """One suspect, as this host knows it.
+
+    Attributes:
+        fingerprint: Of the request.
+        strikes: As in ``Suspect``.
+        learnt: Steady time at which each strike was learnt, by its server.
+        void: As in ``Suspect``.
+        is_refused: Whether it was convicted.
+        newest: Steady time of its newest strike.
+        serial: Grows with each change, over all cases.
+    """
+
+    fingerprint: str
+    newest: float
+    strikes: dict[str, runs_lib.Stage] = attrs.field(factory=dict)
+    learnt: dict[str, float] = attrs.field(factory=dict)
+    void: set[str] = attrs.field(factory=set)
+    is_refused: bool = False
+    serial: int = 0
+
+    @property
+    def counted(self) -> list[str]:
+        """Servers whose ends are held against it."""
+        return [each for each in self.strikes if each not in self.void]
+
+    def clear(self, servers: set[str]) -> None:
+        """Voids the ends of some servers; without any left it is innocent."""
+        self.void |= servers
+        if not self.counted:
+            self.is_refused = False
+
+    def confirms(self, told: Suspect) -> bool:
+        """Returns whether what convicted it elsewhere counts here."""
+        counted = set(told.strikes) - self.void
+        return told.is_refused and len(counted) >= CONVICTING_STARTS
+
+    def add(self, server: str, stage: runs_lib.Stage, now: float) -> bool:
+        """Takes a strike; returns whether it is new, or weighs more."""
+        known = self.strikes.get(server)
+        if known is runs_lib.Stage.BEGUN or known is stage:
+            return False
+        if known is not None and stage is not runs_lib.Stage.BEGUN:
+            return False
+        self.strikes[server] = stage
+        self.learnt.setdefault(server, now)
+        if len(self.strikes) > MOST_STRIKES:
+            oldest = next(iter(self.strikes))
+            del self.strikes[oldest], self.learnt[oldest]
+            self.void.discard(oldest)
+        return True
+
+    def weight(self, server: str) -> tuple[bool, bool, int]:
+        """Returns how likely it is the cause of a server's end."""
+        is_start = self.strikes[server] is runs_lib.Stage.BEGUN
+        return self.is_refused, is_start, len(self.counted)
+
+    def told(self, now: float) -> Suspect:
+        """Returns it as it is told to other hosts."""
+        return Suspect(
+            self.fingerprint,
+            dict(self.strikes),
+            tuple(sorted(self.void)),
+            self.is_refused,
+            now - self.newest,
+        )
+
+
+class SuspectBook:
+    """What is held against requests, by this host and those that told it.
+
+    Attributes:
+        serial: Number of the newest change.
+        verdicts: Fingerprints that were convicted and are to be logged.
+    """
+
+    def __init__(self) -> None:
+        self.serial = 0
+        self.verdicts: list[str] = []
+        self._cases: dict[str, _Case] = {}
+
+    def note_end(
+        self, server: str, runs: Iterable[runs_lib.Run], now: float
+    ) -> None:
+        """Takes the runs that a server had when it ended.
+
+        Args:
+            server: Its identity.
+            runs: Those of this host.
+            now: Steady time.
+        """
+        touched = []
+        for run in runs:
+            stage = _strike_of(run, now)
+            if not run.fingerprint or stage is None:
+                continue
+            case = self._case(run.fingerprint, now)
+            if case.add(server, stage, now):
+                case.newest = now
+                touched.append(case)
+        self._judge(touched, now)
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Notes that a server answered a request whole, and lived."""
+        case = self._cases.get(fingerprint)
+        if case is None or not case.counted:
+            return
+        case.clear(set(case.strikes))
+        self._touch(case)
+
+    def take(self, told: Iterable[Suspect], now: float) -> list[str]:
+        """Takes what another host holds against requests.
+
+        Returns:
+            Identities of servers whose ends were not known here.
+        """
+        touched = []
+        servers: dict[str, None] = {}
+        for suspect in told:
+            if suspect.age > CONVICTION:
+                continue
+            case = self._case(suspect.fingerprint, now - suspect.age)
+            new = [
+                server
+                for server, stage in suspect.strikes.items()
+                if case.add(server, stage, now)
+            ]
+            servers.update(dict.fromkeys(new))
+            void = case.strikes.keys() & set(suspect.void) - case.void
+            case.clear(void)
+            is_refused = not case.is_refused and case.confirms(suspect)
+            if is_refused:
+                self._convict(case)
+            if not (new or void or is_refused):
+                continue
+            case.newest = max(case.newest, now - suspect.age)
+            touched.append(case)
+        self._judge(touched, now)
+        return list(servers)
+
+    def is_convicted(self, fingerprint: str, now: float) -> bool:
+        """Returns whether a request is to be refused."""
+        case = self._cases.get(fingerprint)
+        if case is None:
+            return False
+        if now - case.newest > CONVICTION:
+            del self._cases[fingerprint]
+            return False
+        if not case.is_refused and self._is_guilty(case, now):
+            self._convict(case)
+            self._touch(case)
+        return case.is_refused
+
+    def left_for(self, fingerprint: str, now: float) -> float:
+        """Returns the seconds until a convicted request may be tried again."""
+        case = self._cases.get(fingerprint)
+        return 0.0 if case is None else case.newest + CONVICTION - now
+
+    def is_bystander(self, fingerprint: str) -> bool:
+        """Returns whether a request seems not to blame for its servers' ends.
+
+        Whoever merely ran there is not to lose an attempt by it.
+        """
+        case = self._cases.get(fingerprint)
+        return case is None or len(self._likely(case)) < CONVICTING_STARTS
+
+    def convicted(self, now: float) -> dict[str, Suspect]:
+        """Returns the requests that are refused."""
+        return {
+            fingerprint: self._cases[fingerprint].told(now)
+            for fingerprint in tuple(self._cases)
+            if self.is_convicted(fingerprint, now)
+        }
+
+    def reasons(self, fingerprint: str) -> dict[str, object]:
+        """Returns what convicted a request, for the log."""
+        case = self._cases.get(fingerprint)
+        if case is None:
+            return {"fingerprint": fingerprint}
+        return {
+            "fingerprint": fingerprint,
+            "ended": [
+                f"{server} {case.strikes[server]}" for server in case.counted
+            ],
+            "likely": self._likely(case),
+        }
+
+    def forget(self, fingerprint: str) -> None:
+        """Forgets what is held against a request."""
+        self._cases.pop(fingerprint, None)
+
+    def news(self, after: int, now: float) -> tuple[tuple[Suspect, ...], int]:
+        """Returns what has changed, oldest first, and up to which serial.
+
+        Args:
+            after: Serial up to which it was told already.
+            now: Steady time.
+        """
+        if after >= self.serial:
+            return (), self.serial
+        new = sorted(
+            (each for each in self._cases.values() if each.serial > after),
+            key=lambda each: each.serial,
+        )
+        is_all = len(new) <= MOST_TOLD
+        new = new[:MOST_TOLD]
+        until = self.serial if is_all else new[-1].serial
+        return tuple(each.told(now) for each in new), until
+
+    def _case(self, fingerprint: str, newest: float) -> _Case:
+        known = self._cases.get(fingerprint)
+        if known is None:
+            known = self._cases[fingerprint] = _Case(fingerprint, newest)
+            self._make_room()
+        return known
+
+    def _make_room(self) -> None:
+        """Drops the least of the suspects, or the oldest of the convicted."""
+        for is_refused, most in (
+            (False, MOST_SUSPECTS),
+            (True, MOST_CONVICTED),
+        ):
+            cases = [
+                each
+                for each in self._cases.values()
+                if each.is_refused is is_refused
+            ]
+            if len(cases) > most:
+                # The new one is last and has no strike yet.
+                least = min(
+                    cases[:-1],
+                    key=lambda each: (len(each.counted), each.newest),
+                )
+                del self._cases[least.fingerprint]
+
+    def _touch(self, case: _Case) -> None:
+        self.serial += 1
+        case.serial = self.serial
+
+    def _judge(self, cases: list[_Case], now: float) -> None:
+        for case in cases:
+            self._touch(case)
+        for case in cases:
+            self.is_convicted(case.fingerprint, now)
+
+    def _convict(self, case: _Case) -> None:
+        case.is_refused = True
+        self.verdicts.append(case.fingerprint)
+
+    def _is_guilty(self, case: _Case, now: float) -> bool:
+        starts = [
+            server
+            for server in case.counted
+            if self._is_only_start(case, server)
+        ]
+        if len(starts) >= CONVICTING_STARTS:
+            return True
+        settled = [
+            server
+            for server in self._likely(case)
+            if now - case.learnt[server] >= SETTLED
+        ]
+        return len(settled) >= CONVICTING_ENDS
+
+    def _likely(self, case: _Case) -> list[str]:
+        """Returns the ends of which no other request is the likelier cause."""
+        return [
+            server
+            for server in case.counted
+            if all(
+                other.weight(server) <= case.weight(server)
+                for other in self._others_at(case, server)
+            )
+        ]
+
+    def _is_only_start(self, case: _Case, server: str) -> bool:
+        return case.strikes[server] is runs_lib.Stage.BEGUN and not any(
+            other.strikes[server] is runs_lib.Stage.BEGUN
+            for other in self._others_at(case, server)
+        )
+
+    def _others_at(self, case: _Case, server: str) -> list[_Case]:
+        return [
+            other
+            for other in self._cases.values()
+            if other is not case
+            and server in other.strikes
+            and server not in other.void
+        ]
+
+
+def _strike_of(run: runs_lib.Run, now: float) -> runs_lib.Stage | None:
+    """Returns what a run says when its server ends; None for nothing."""
+    is_at_begin = run.lasted(now) <= AT_BEGIN
+    if run.stage is runs_lib.Stage.GIVING and not is_at_begin:
+        return None
+    if run.stage is runs_lib.Stage.BEGUN and not is_at_begin:
+        return runs_lib.Stage.WAITING
+    return run.stage
--- a/src/hoistmoor/relay/front/caller_answer.py
+++ b/src/hoistmoor/relay/front/caller_answer.py
@@ -86,7 +86,7 @@
             status=_status_of(refusal),
         )
         if refusal.outcome is outcomes.Outcome.NOT_RUN:
-            wait = self._wait_for(refusal.reason)
+            wait = refusal.retry_after or self._wait_for(refusal.reason)
             response.headers["Retry-After"] = f"{wait:.3f}"
         await self._prepare(response)
         await response.write_eof()
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -139,6 +139,8 @@
             self._state.router.note_ended(
                 self._request, send, outcome, self._now()
             )
+        if state is _State.ANSWERED and 200 <= attempt.status < 300:
+            self._state.router.suspects.note_answered(self._request.fingerprint)
         if attempt.is_cut:
             await self._links.ends.has_ended(send.server)
         self._note_attempt(attempt, state)
@@ -149,7 +151,9 @@
             )
         self._kept = attempt
         return self._machine.handle(
-            messages.AttemptEnded(state, attempt.status, attempt.detail),
+            messages.AttemptEnded(
+                state, attempt.status, attempt.detail, send.server.has_ended
+            ),
             self._now(),
         )
 
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -12,6 +12,7 @@
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import suspects as suspects_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
@@ -82,7 +83,6 @@
         """Notes that a start of a server is over, as this host found."""
         if server.has_ended:
             return
-        server.has_ended = True
         now = self.clock()
         self.believe(
             "server_ended",
@@ -93,6 +93,20 @@
                 for run in server.runs.present(now)
             ],
         )
+        self.router.note_server_end(server, now)
+        self.log_verdicts()
+
+    def take_suspects(self, told: Iterable[suspects_lib.Suspect]) -> None:
+        """Takes what another host holds against requests."""
+        self.router.take_suspects(told, self.clock())
+        self.log_verdicts()
+
+    def log_verdicts(self) -> None:
+        """Writes which requests were convicted since the last time."""
+        suspects = self.router.suspects
+        for fingerprint in suspects.verdicts:
+            self.believe("request_convicted", **suspects.reasons(fingerprint))
+        suspects.verdicts.clear()
 
     def known_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host and of those that ask it.
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -15,6 +15,8 @@
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.servers import runs
+from hoistmoor.core.relay.servers import suspects
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests as requests_lib
@@ -313,3 +315,75 @@
         machine.handle(messages.HeadArrived(200, 0.0), later),
         matchers.IsInstance(messages.Pass),
     )
+
+
+def end_servers(
+    router: router_lib.Router, fingerprint: str, count: int, stage: runs.Stage
+) -> None:
+    """Has servers end under a request, as another host saw it."""
+    strikes = {f"gone{number}": stage for number in range(count)}
+    router.take_suspects([suspects.Suspect(fingerprint, strikes)], NOW - 2.0)
+
+
+def test_a_convicted_request_is_refused_as_not_run(
+    router: router_lib.Router,
+) -> None:
+    end_servers(router, "bad", 2, runs.Stage.BEGUN)
+    request = relay_parts.request(fingerprint="bad")
+    machine = machine_lib.RelayMachine(request, router)
+    refusal = refusal_of(machine.handle(messages.Started(), NOW))
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.ENDS_SERVERS)
+    )
+    assertions.assert_that(
+        refusal.outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
+    )
+    # A caller that comes back sooner would only be refused again.
+    assertions.assert_that(
+        refusal.retry_after, matchers.Equals(int(suspects.CONVICTION) - 2)
+    )
+
+
+def test_a_request_that_is_convicted_under_way_is_sent_no_more(
+    router: router_lib.Router,
+) -> None:
+    request = relay_parts.request(relay_parts.CHAT, fingerprint="bad")
+    router.fleet.put(relay_parts.entry("e1", service="llm"))
+    router.fleet.put(relay_parts.entry("e2", service="llm"))
+    machine = machine_lib.RelayMachine(request, router)
+    machine.handle(messages.Started(), NOW)
+    end_servers(router, "bad", 2, runs.Stage.BEGUN)
+    refusal = refusal_of(machine.handle(messages.AttemptEnded(State.SENT), NOW))
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.ENDS_SERVERS)
+    )
+    assertions.assert_that(
+        refusal.outcome, matchers.Equals(outcomes.Outcome.UNKNOWN)
+    )
+
+
+@pytest.mark.parametrize(
+    ("ends_before", "sends"),
+    [(0, 2 + machine_lib.MAX_SPARED), (2, 2)],
+)
+def test_an_end_uses_up_no_attempt_of_what_merely_ran_there(
+    router: router_lib.Router, ends_before: int, sends: int
+) -> None:
+    # The route allows two attempts.
+    for number in range(9):
+        router.fleet.put(relay_parts.entry(f"d{number}"))
+    end_servers(router, "r", ends_before, runs.Stage.WAITING)
+    request = relay_parts.request(fingerprint="r")
+    for _ in range(20):
+        router.note_request(request, NOW)
+    machine = machine_lib.RelayMachine(request, router)
+    effect = machine.handle(messages.Started(), NOW)
+    count = 0
+    while isinstance(effect, messages.Send):
+        count += 1
+        ended = messages.AttemptEnded(State.SENT, server_ended=True)
+        effect = machine.handle(ended, NOW)
+    assertions.assert_that(count, matchers.Equals(sends))
+    assertions.assert_that(
+        refusal_of(effect).outcome, matchers.Equals(outcomes.Outcome.UNKNOWN)
+    )
--- /dev/null
+++ b/tests/core/relay/servers/test_relay_suspects.py
@@ -0,0 +1,195 @@
+"""Which requests are convicted of ending servers, and which are not.
+
+One request ended each of six servers that began to run it, four times in a
+minute; 214 other requests were cut with it, 80 of them three times or more.
+Only the first is to be refused: it alone was cut each time after its answer
+had begun and before a part of it came.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import runs
+from hoistmoor.core.relay.servers import suspects
+
+NOW = 100.0
+LATER = NOW + suspects.SETTLED
+Stage = runs.Stage
+
+
+def run_of(
+    fingerprint: str, stage: Stage = Stage.WAITING, lasted: float = 0.1
+) -> runs.Run:
+    begun_at = None if stage is Stage.WAITING else NOW - lasted
+    return runs.Run(fingerprint, stage, begun_at)
+
+
+def begun(fingerprint: str = "bad") -> runs.Run:
+    return run_of(fingerprint, Stage.BEGUN)
+
+
+def giving(fingerprint: str) -> runs.Run:
+    return run_of(fingerprint, Stage.GIVING)
+
+
+def assert_convicted(
+    book: suspects.SuspectBook, fingerprint: str, now: float, expected: bool
+) -> None:
+    assertions.assert_that(
+        book.is_convicted(fingerprint, now), matchers.Is(expected)
+    )
+
+
+def book_with(*ends: list[runs.Run]) -> suspects.SuspectBook:
+    """Returns a book that has seen one server end after the other."""
+    book = suspects.SuspectBook()
+    for number, present in enumerate(ends):
+        book.note_end(f"s{number}", present, NOW)
+    return book
+
+
+def test_two_ends_as_a_run_begins_convict_at_once() -> None:
+    book = book_with([begun()])
+    assert_convicted(book, "bad", LATER, False)
+    book.note_end("s1", [begun()], NOW)
+    assert_convicted(book, "bad", NOW, True)
+    assertions.assert_that(book.verdicts, matchers.Equals(["bad"]))
+
+
+def test_one_server_that_ends_counts_once() -> None:
+    book = book_with([begun()])
+    book.note_end("s0", [begun()], NOW)
+    assert_convicted(book, "bad", LATER, False)
+
+
+def test_a_start_counts_only_where_no_other_run_began() -> None:
+    both = [begun(), begun("other")]
+    book = book_with(both, both)
+    assert_convicted(book, "bad", NOW, False)
+    assert_convicted(book, "other", NOW, False)
+
+
+def test_four_other_ends_convict_once_they_are_settled() -> None:
+    ends = [[run_of("bad")] for _ in range(suspects.CONVICTING_ENDS)]
+    assert_convicted(book_with(*ends), "bad", NOW, False)
+    assert_convicted(book_with(*ends), "bad", LATER, True)
+    assert_convicted(book_with(*ends[1:]), "bad", LATER, False)
+
+
+@pytest.mark.parametrize("stage", [Stage.WAITING, Stage.GIVING])
+def test_what_runs_beside_is_not_convicted(stage: Stage) -> None:
+    ends = [[begun(), run_of("beside", stage)] for _ in range(6)]
+    book = book_with(*ends)
+    assert_convicted(book, "bad", LATER, True)
+    assert_convicted(book, "beside", LATER, False)
+    assertions.assert_that(book.is_bystander("beside"), matchers.Is(True))
+
+
+def test_what_runs_beside_is_not_convicted_for_want_of_starts() -> None:
+    ends = [[run_of("bad"), run_of("beside")] for _ in range(4)]
+    book = book_with([run_of("bad")], *ends)
+    assert_convicted(book, "bad", LATER, True)
+    assert_convicted(book, "beside", LATER, False)
+
+
+def test_a_run_that_lasted_is_no_suspect() -> None:
+    lasted = suspects.AT_BEGIN + 0.1
+    ends = [[run_of("long", Stage.GIVING, lasted)] for _ in range(6)]
+    assert_convicted(book_with(*ends), "long", LATER, False)
+    # Its answer began long ago, so the end was not at its begin.
+    slow = [[run_of("slow", Stage.BEGUN, lasted)] for _ in range(2)]
+    assert_convicted(book_with(*slow), "slow", LATER, False)
+
+
+def test_an_answer_clears_but_not_for_ever() -> None:
+    book = book_with([begun()], [begun()])
+    book.note_answered("bad")
+    assert_convicted(book, "bad", LATER, False)
+    book.note_end("s2", [begun()], NOW)
+    assert_convicted(book, "bad", LATER, False)
+    book.note_end("s3", [begun()], NOW)
+    assert_convicted(book, "bad", LATER, True)
+
+
+def test_an_answer_elsewhere_clears() -> None:
+    book, other = book_with([begun()], [begun()]), suspects.SuspectBook()
+    other.take(book.news(0, NOW)[0], NOW)
+    other.note_answered("bad")
+    book.take(other.news(0, NOW)[0], NOW)
+    assert_convicted(book, "bad", LATER, False)
+
+
+def test_a_conviction_ends() -> None:
+    book = book_with([begun()], [begun()])
+    left = book.left_for("bad", NOW + 1.0)
+    assertions.assert_that(left, matchers.Equals(suspects.CONVICTION - 1.0))
+    assert_convicted(book, "bad", NOW + suspects.CONVICTION + 1.0, False)
+    assertions.assert_that(
+        book.convicted(NOW + suspects.CONVICTION + 1.0), matchers.Equals({})
+    )
+
+
+def test_what_is_old_is_not_taken() -> None:
+    book = book_with([begun()], [begun()])
+    (told,), _ = book.news(0, NOW + suspects.CONVICTION + 1.0)
+    other = suspects.SuspectBook()
+    other.take([told], NOW)
+    assert_convicted(other, "bad", NOW, False)
+
+
+@pytest.mark.parametrize("hosts", [1, 7, 84, 360])
+def test_hosts_agree_in_whatever_order_they_are_told(hosts: int) -> None:
+    draw = random.Random(hosts)
+    seen = [suspects.SuspectBook() for _ in range(hosts)]
+    for number in range(suspects.CONVICTING_ENDS):
+        for run in [run_of("bad"), giving(f"beside{number}"), giving("beside")]:
+            present = [run] if run.fingerprint != "beside" or number else []
+            draw.choice(seen).note_end(f"s{number}", present, NOW)
+    told = list(
+        itertools.chain.from_iterable(each.news(0, NOW)[0] for each in seen)
+    )
+    for _ in range(10):
+        draw.shuffle(told)
+        book = suspects.SuspectBook()
+        book.take(told, NOW)
+        assert_convicted(book, "bad", LATER, True)
+        assert_convicted(book, "beside", LATER, False)
+
+
+def test_memory_is_bounded_and_the_convicted_stay() -> None:
+    book = book_with([begun()], [begun()])
+    for number in range(20):
+        present = [run_of(f"r{number}.{each}") for each in range(50)]
+        book.note_end(f"t{number}", present, NOW + 1.0)
+    news, after, count = (), 0, 0
+    while after < book.serial:
+        news, after = book.news(after, NOW)
+        assertions.assert_that(
+            len(news), matchers.LessThan(suspects.MOST_TOLD + 1)
+        )
+        count += len(news)
+    assertions.assert_that(count, matchers.LessThan(suspects.MOST_SUSPECTS + 2))
+    assert_convicted(book, "bad", LATER, True)
+
+
+def test_only_what_is_new_is_told() -> None:
+    book = book_with([begun()])
+    news, after = book.news(0, NOW)
+    assertions.assert_that(news, matchers.HasLength(1))
+    assertions.assert_that(book.news(after, NOW)[0], matchers.HasLength(0))
+    # What another host tells again changes nothing.
+    book.take(news, NOW)
+    assertions.assert_that(book.news(after, NOW)[0], matchers.HasLength(0))
+    book.note_end("s1", [begun()], NOW)
+    assertions.assert_that(book.news(after, NOW)[0], matchers.HasLength(1))
+
+
+def test_requests_without_a_name_are_no_suspects() -> None:
+    book = book_with([runs.Run()], [runs.Run()])
+    assertions.assert_that(book.serial, matchers.Equals(0))
--- a/tests/relay/test_relay_crashing_request.py
+++ b/tests/relay/test_relay_crashing_request.py
@@ -108,6 +108,10 @@
     for _ in range(3):
         await relay_cluster.until(lambda: bool(cluster.running(body)))
         cluster.running(body)[0].end()
+        # A server takes longer to come back than a request to go on.
+        await relay_cluster.until(
+            lambda: bool(cluster.running(body)) or call.done()
+        )
         await cluster.revive()
     for engine in cluster.engines:
         engine.pace.set()
