--- a/benchmarks/capacity/tree.py
+++ b/benchmarks/capacity/tree.py
@@ -25,8 +25,8 @@
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
 from hoistmoor.relay import state as state_lib
+from hoistmoor.relay.peers import answers as answers_lib
 from hoistmoor.relay.peers import peer_codec
-from hoistmoor.relay.peers import peers
 from hoistmoor.relay.store import follower as follower_lib
 from hoistmoor.relay.store import store_gate
 
@@ -93,7 +93,7 @@
     )
 
 
-def _answers(state: state_lib.RelayState) -> peers.PeerAnswers:
+def _answers(state: state_lib.RelayState) -> answers_lib.PeerAnswers:
     gate = store_gate.StoreGate()
     followers = {
         name: follower_lib.TopicFollower(
@@ -110,10 +110,10 @@
     for each in followers.values():
         each.mirror = mirror.TopicMirror()
         each.mirror.take(topics.Batch((), 100, is_snapshot=True))
-    return peers.PeerAnswers(state, followers)
+    return answers_lib.PeerAnswers(state, followers)
 
 
-def _answer(answers: peers.PeerAnswers, asked: bytes) -> bytes:
+def _answer(answers: answers_lib.PeerAnswers, asked: bytes) -> bytes:
     question = peer_codec.decode_request(asked)
     return peer_codec.encode(answers.answer(question))
 
--- a/src/hoistmoor/platform/fields.py
+++ b/src/hoistmoor/platform/fields.py
@@ -8,15 +8,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-import ipaddress
 import math
 from typing import Any
 
 import attrs
 
+from hoistmoor.core import errors
+from hoistmoor.utils import addresses
+
 LONGEST_TEXT = 256  # Characters; names on the platform have a tenth of them.
 MOST_SLOTS = 1_000_000  # Far above any server; a larger number is no count.
-_PORTS = range(1, 1 << 16)
 
 
 @attrs.frozen
@@ -77,14 +78,13 @@
 
 def is_address(value: Any) -> bool:
     """Returns whether a value is ``ip:port`` with a number for each."""
-    if not isinstance(value, str):
+    if not isinstance(value, str) or "[" in value:
         return False
-    ip, _, port = value.rpartition(":")
     try:
-        ipaddress.IPv4Address(ip)
-    except ValueError:
+        address = addresses.parse(value)
+    except errors.ConfigurationError:
         return False
-    return port.isascii() and port.isdigit() and int(port) in _PORTS
+    return ":" not in address.ip and address.port > 0
 
 
 def _is_slots(value: Any) -> bool:
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -28,11 +28,12 @@
 from hoistmoor.relay.front import front as front_lib
 from hoistmoor.relay.front import relay_task
 from hoistmoor.relay.front import server_ends
+from hoistmoor.relay.peers import answers as answers_lib
+from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
-from hoistmoor.relay.peers import peers
-from hoistmoor.relay.store import follower
+from hoistmoor.relay.peers import reader as reader_lib
+from hoistmoor.relay.store import followers as followers_lib
 from hoistmoor.relay.store import lease_watch
-from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import store_gate
 from hoistmoor.relay.versions import rollout_task
 from hoistmoor.utils import listening
@@ -50,17 +51,6 @@
 # asks once a second and needs two refusals.
 TAKE_ON = 2.5
 STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
-# Seconds that a read of the operators' topic may be held back, and the pause
-# after it: together they are the age of a configuration known to be current.
-OPERATOR_WAIT = 0.5
-SHORT_PAUSE = 0.05
-# Entries change many times a second; a pause reads several at once. With two
-# copies from host to host, a server that leaves is known well in two seconds.
-SERVERS_WAIT = 0.5
-SERVERS_PAUSE = 0.3
-# Topics that seldom change, and of whose change nobody need hear at once.
-SLOW_WAIT = 5.0
-HOSTS_PAUSE = 1.0
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
 UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
 LARGEST_LINE = 16384  # Bytes of one line of a request's head.
@@ -137,7 +127,16 @@
         self.settings_task = settings_task.SettingsTask(
             self.state, settings, read_settings, self.apply
         )
-        self._make_followers(platform)
+        self._sources = mirror.Sources(settings.host, settings.zone)
+        self._gate = store_gate.StoreGate()
+        self.followers = followers_lib.make_followers(
+            self.state,
+            platform,
+            self._sources,
+            self._gate,
+            # Where other hosts may be asked, it is known soon who reads.
+            yields=bool(settings.peer_listen),
+        )
         self._make_tasks(platform, peer_session)
 
     def apply(self, settings: settings_lib.RelaySettings) -> None:
@@ -147,61 +146,6 @@
         self.state.lease.is_strict = settings.is_revocation_strict
         self.state.router.take_bounds(_bounds(settings))
 
-    def _make_followers(self, platform: ports.Platform) -> None:
-        state, topics = self.state, platform.topics
-        self._sources = mirror.Sources(self.settings.host, self.settings.zone)
-        operator = listeners.OperatorListener(state, platform.codec)
-        servers = listeners.ServerListener(state, platform.codec)
-        phases = listeners.PhaseListener(state)
-        hosts = peers.HostListener(state, self._sources)
-        self._gate = gate = store_gate.StoreGate()
-        # Where other hosts may be asked, it is known soon who reads.
-        yields = bool(self.settings.peer_listen)
-        self.followers = {
-            "operator": follower.TopicFollower(
-                state,
-                "operator",
-                topics.operator,
-                operator,
-                wait=OPERATOR_WAIT,
-                pause=SHORT_PAUSE,
-                gate=gate,
-                is_probe=True,
-                yields=yields,
-            ),
-            "servers": follower.TopicFollower(
-                state,
-                "servers",
-                topics.servers,
-                servers,
-                wait=SERVERS_WAIT,
-                pause=SERVERS_PAUSE,
-                gate=gate,
-                yields=yields,
-            ),
-            "phases": follower.TopicFollower(
-                state,
-                "phases",
-                topics.phases,
-                phases,
-                wait=SLOW_WAIT,
-                pause=SHORT_PAUSE,
-                gate=gate,
-                yields=yields,
-            ),
-            "hosts": follower.TopicFollower(
-                state,
-                "hosts",
-                topics.hosts,
-                hosts,
-                wait=SLOW_WAIT,
-                pause=HOSTS_PAUSE,
-                gate=gate,
-                is_held=not yields,
-                yields=yields,
-            ),
-        }
-
     def _make_tasks(
         self,
         platform: ports.Platform,
@@ -224,7 +168,7 @@
         own = mirror.Host(
             settings.host, settings.zone, settings.peer_listen, settings.link
         )
-        listing = peers.SelfListing(
+        listing = listing_lib.SelfListing(
             self.state,
             platform.topics.hosts,
             own,
@@ -233,7 +177,7 @@
         )
         self.loops["listing"] = listing.run
         client = peer_client.PeerClient(self.state, peer_session)
-        reader = peers.PeerReader(
+        reader = reader_lib.PeerReader(
             self.state,
             self._sources,
             self.followers,
@@ -280,7 +224,7 @@
             metrics = front_lib.MetricsPage(self.state)
             pages.append((settings.metrics_listen, metrics.handle))
         if settings.peer_listen:
-            answers = peers.PeerAnswers(self.state, self.followers)
+            answers = answers_lib.PeerAnswers(self.state, self.followers)
             pages.append((settings.peer_listen, answers.handle))
         runners = []
         for address, handler in pages:
--- /dev/null
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -0,0 +1,61 @@
+"""Answers other relays that ask for what the store says."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from hoistmoor.relay.peers import peer_codec
+
+if TYPE_CHECKING:
+    from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.store import follower as follower_lib
+
+_FOREVER = 1e9  # Seconds; JSON has no infinity.
+
+
+class PeerAnswers:
+    """Answers other hosts."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        followers: dict[str, follower_lib.TopicFollower],
+    ) -> None:
+        self._state = state
+        self._followers = followers
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one question."""
+        try:
+            asked = peer_codec.decode_request(await request.read())
+        except ValueError:
+            return web.Response(status=400)
+        return web.Response(body=peer_codec.encode(self.answer(asked)))
+
+    def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
+        """Returns what is new to the other host."""
+        copies = {}
+        for name, offset in asked.offsets.items():
+            follower = self._followers.get(name)
+            new = follower.mirror.copy_from(offset) if follower else None
+            if follower is not None and new is not None:
+                outage = min(follower.after_outage, _FOREVER)
+                age = min(follower.age(), _FOREVER)
+                copies[name] = peer_codec.TopicCopy(new, outage, age)
+        for evidence in asked.evidence:
+            self._state.evidence.take(evidence)
+        now = self._state.clock()
+        rollouts = self._state.router.rollouts
+        rollouts.take_ages(asked.order_ages, now)
+        outstanding = self._state.outstanding
+        outstanding.take(asked.host, asked.work, now)
+        own = self._state.router.fleet.own_work()
+        return peer_codec.CopyAnswer(
+            self._state.depth,
+            copies,
+            outstanding.told_to(asked.host, own, now),
+            self._state.look_for_doubts(asked.doubts),
+            rollouts.ages(now),
+        )
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -2,29 +2,18 @@
 
 from __future__ import annotations
 
-import base64
-import functools
 import math
-from typing import TypeVar
-import zlib
 
 import attrs
-import cattrs
-import orjson
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.relay import records
 from hoistmoor.utils import addresses
 
-# Values kept compressed: a host sends the same few to all that ask it. A
-# configuration of 50 routes has some 20 KB, and links carry 0.6 to 1.2 MB/s.
-PACKED_VALUES = 64
-
-_T = TypeVar("_T")
-
 
 @attrs.frozen
 class TopicCopy:
@@ -89,67 +78,26 @@
         return max(ages)
 
 
-@functools.lru_cache(maxsize=PACKED_VALUES)
-def _pack(value: bytes) -> str:
-    return base64.b64encode(zlib.compress(value, level=1)).decode()
-
-
-def _unpack(text: str, _: object) -> bytes:
-    return zlib.decompress(base64.b64decode(text))
-
-
-def _read_work(numbers: tuple[float, int], _: object) -> outstanding.ServerWork:
-    work, requests = numbers
-    return outstanding.ServerWork(float(work), int(requests))
-
-
-def _make_converter() -> cattrs.Converter:
-    made = cattrs.Converter()
-    # Two numbers a server: a thousand of them are told three times a second.
-    made.register_unstructure_hook(outstanding.ServerWork, attrs.astuple)
-    made.register_structure_hook(outstanding.ServerWork, _read_work)
-    made.register_unstructure_hook(bytes, _pack)
-    made.register_structure_hook(bytes, _unpack)
-    return made
-
-
-_CONVERTER = _make_converter()
-
-
 def encode(message: CopyRequest | CopyAnswer | mirror.Host) -> bytes:
     """Returns a message's bytes."""
-    return orjson.dumps(
-        _CONVERTER.unstructure(message), option=orjson.OPT_NON_STR_KEYS
-    )
+    return records.encode(message)
 
 
 def decode_request(data: bytes) -> CopyRequest:
     """Returns a request; raises ``ValueError`` for other bytes."""
-    return _decode(data, CopyRequest)
+    return records.decode(data, CopyRequest)
 
 
 def decode_answer(data: bytes) -> CopyAnswer:
     """Returns an answer; raises ``ValueError`` for other bytes."""
-    return _decode(data, CopyAnswer)
+    return records.decode(data, CopyAnswer)
 
 
 def decode_host(data: bytes) -> mirror.Host:
     """Returns a host's entry; raises ``ValueError`` for other bytes."""
-    host = _decode(data, mirror.Host)
+    host = records.decode(data, mirror.Host)
     try:
         addresses.parse(host.address)
     except errors.ConfigurationError as error:
         raise ValueError(f"not a Host: {error}") from error
     return host
-
-
-def _decode(data: bytes, kind: type[_T]) -> _T:
-    try:
-        return _CONVERTER.structure(orjson.loads(data), kind)
-    except (
-        cattrs.BaseValidationError,
-        TypeError,
-        KeyError,
-        zlib.error,
-    ) as error:
-        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
--- a/src/hoistmoor/relay/peers/peers.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -1,9 +1,8 @@
 """Relays that ask one another for what the store says.
 
-Each host lists itself on a topic of the store at its first start. A host asks
-those before it in the shared order; if none has anything current, it reads
-the store itself. With its questions it tells what only it knows: its work at
-the backend servers and its counts in roll-outs.
+A host asks those before it in the shared order; if none has anything current,
+it reads the store itself. With its questions it tells what only it knows: its
+work at the backend servers and its counts in roll-outs.
 
 The loads that it answers: all hosts start at once; the store is away for all
 hosts or for some of them, and comes back. Then a call of each host counts.
@@ -15,20 +14,16 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
-from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import reading
 from hoistmoor.relay.peers import peer_codec
 from hoistmoor.relay.store import follower as follower_lib
-from hoistmoor.relay.store import ports
 from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import mirror
-    from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.core.relay.servers import outstanding
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.peers import listing as listing_lib
     from hoistmoor.relay.peers import peer_client
 
 # Seconds in which a start waits for the list of hosts; after it the store may
@@ -38,79 +33,6 @@
 # looks who the others are.
 OTHERS_LISTED = 0.35
 START_PERIOD = 0.1  # Seconds between two questions while a start waits.
-LIST_RETRY = 0.5  # Seconds until a host tries again to list itself.
-_FOREVER = 1e9  # Seconds; JSON has no infinity.
-
-
-class HostListener:
-    """Takes the hosts' own entries."""
-
-    def __init__(
-        self, state: state_lib.RelayState, sources: mirror.Sources
-    ) -> None:
-        self._state = state
-        self._sources = sources
-
-    def __call__(
-        self, update: follower_lib.Update
-    ) -> tuple[topics.Record, ...]:
-        """Takes one update."""
-        for record in update.batch.records:
-            if record.value is None:
-                continue
-            try:
-                self._sources.put(peer_codec.decode_host(record.value))
-            except ValueError as error:
-                self._state.note_unreadable("host", record, error)
-        if update.batch.records:  # Most updates bring none.
-            self._state.router.fleet.warmups.take_hosts(self._sources.hosts)
-        return update.batch.records
-
-
-class PeerAnswers:
-    """Answers other hosts."""
-
-    def __init__(
-        self,
-        state: state_lib.RelayState,
-        followers: dict[str, follower_lib.TopicFollower],
-    ) -> None:
-        self._state = state
-        self._followers = followers
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answers one question."""
-        try:
-            asked = peer_codec.decode_request(await request.read())
-        except ValueError:
-            return web.Response(status=400)
-        return web.Response(body=peer_codec.encode(self.answer(asked)))
-
-    def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
-        """Returns what is new to the other host."""
-        copies = {}
-        for name, offset in asked.offsets.items():
-            follower = self._followers.get(name)
-            new = follower.mirror.copy_from(offset) if follower else None
-            if follower is not None and new is not None:
-                outage = min(follower.after_outage, _FOREVER)
-                age = min(follower.age(), _FOREVER)
-                copies[name] = peer_codec.TopicCopy(new, outage, age)
-        for evidence in asked.evidence:
-            self._state.evidence.take(evidence)
-        now = self._state.clock()
-        rollouts = self._state.router.rollouts
-        rollouts.take_ages(asked.order_ages, now)
-        outstanding = self._state.outstanding
-        outstanding.take(asked.host, asked.work, now)
-        own = self._state.router.fleet.own_work()
-        return peer_codec.CopyAnswer(
-            self._state.depth,
-            copies,
-            outstanding.told_to(asked.host, own, now),
-            self._state.look_for_doubts(asked.doubts),
-            rollouts.ages(now),
-        )
 
 
 class PeerReader:
@@ -123,7 +45,7 @@
         followers: dict[str, follower_lib.TopicFollower],
         client: peer_client.PeerClient,
         gate: store_gate.StoreGate,
-        listing: SelfListing,
+        listing: listing_lib.SelfListing,
     ) -> None:
         """Makes the task.
 
@@ -325,58 +247,3 @@
         self._state.router.rollouts.take_ages(
             answer.order_ages, self._state.clock()
         )
-
-
-class SelfListing:
-    """Lists this host, so that others may ask it.
-
-    A host that is listed already, as after a restart, makes no call.
-
-    Attributes:
-        due: Set once it is known that the host is not listed.
-        host: This host's entry.
-        is_first_start: Whether all hosts start now for the first time, so
-            that none is listed yet.
-    """
-
-    def __init__(
-        self,
-        state: state_lib.RelayState,
-        topic: ports.KeyedTopic,
-        host: mirror.Host,
-        sources: mirror.Sources,
-        *,
-        is_first_start: bool,
-    ) -> None:
-        """Makes the task.
-
-        Args:
-            state: What the relay knows.
-            topic: Where hosts list themselves.
-            host: This host's entry.
-            sources: The hosts that are listed.
-            is_first_start: Whether all hosts start now for the first time.
-        """
-        self.due = asyncio.Event()
-        self.host = host
-        self.is_first_start = is_first_start
-        self._state = state
-        self._topic = topic
-        self._sources = sources
-
-    def is_needed(self) -> bool:
-        """Returns whether the list lacks this host, or has an older entry."""
-        return self._sources.hosts.get(self.host.name) != self.host
-
-    async def run(self) -> None:
-        """Lists the host once it is due."""
-        entry = peer_codec.encode(self.host)
-        await self.due.wait()
-        while True:
-            try:
-                await self._topic.put(self.host.name, entry)
-            except errors.HoistmoorError as error:
-                self._state.log.write("listing_waits", detail=error.problem)
-                await asyncio.sleep(LIST_RETRY)
-            else:
-                await asyncio.Event().wait()
--- a/src/hoistmoor/relay/versions/rollout_codec.py
+++ b/src/hoistmoor/relay/versions/rollout_codec.py
@@ -2,18 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
 import attrs
-import cattrs
-import orjson
 
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import rollouts
-
-_T = TypeVar("_T")
-
-_CONVERTER = cattrs.Converter()
+from hoistmoor.relay import records
 
 
 @attrs.frozen
@@ -31,21 +24,14 @@
 
 def encode(record: rollouts.PhaseRecord | EvidenceReport) -> bytes:
     """Returns a record's bytes."""
-    return orjson.dumps(_CONVERTER.unstructure(record))
+    return records.encode(record)
 
 
 def decode_phase(data: bytes) -> rollouts.PhaseRecord:
     """Returns the phase that ``data`` holds; raises ``ValueError``."""
-    return _decode(data, rollouts.PhaseRecord)
+    return records.decode(data, rollouts.PhaseRecord)
 
 
 def decode_report(data: bytes) -> EvidenceReport:
     """Returns the counts that ``data`` holds; raises ``ValueError``."""
-    return _decode(data, EvidenceReport)
-
-
-def _decode(data: bytes, kind: type[_T]) -> _T:
-    try:
-        return _CONVERTER.structure(orjson.loads(data), kind)
-    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
-        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
+    return records.decode(data, EvidenceReport)
--- a/src/hoistmoor/utils/addresses.py
+++ b/src/hoistmoor/utils/addresses.py
@@ -43,7 +43,8 @@
     ip, separator, port = text.rpartition(":")
     try:
         number = ipaddress.ip_address(ip.strip("[]"))
-        if not separator or not 0 <= int(port) <= _MAX_PORT:
+        is_number = port.isascii() and port.isdigit()
+        if not separator or not is_number or int(port) > _MAX_PORT:
             raise ValueError(port)
     except ValueError as error:
         raise errors.ConfigurationError(
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -18,6 +18,7 @@
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.store import followers
 
 if TYPE_CHECKING:
     from hoistmoor.relay import state as state_lib
@@ -129,8 +130,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> AsyncIterator[Harness]:
     """A relay that has read its configuration."""
-    monkeypatch.setattr(application, "SERVERS_PAUSE", 0.02)
-    monkeypatch.setattr(application, "OPERATOR_WAIT", 0.2)
+    monkeypatch.setattr(followers, "SERVERS_PAUSE", 0.02)
+    monkeypatch.setattr(followers, "OPERATOR_WAIT", 0.2)
     monkeypatch.setattr(application, "TAKE_ON", 0.1)
     # The lines go nowhere; pytest's own capture cannot be made non-blocking.
     nowhere = os.open(os.devnull, os.O_WRONLY)
--- a/tests/relay/peers/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -23,6 +23,7 @@
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
 from hoistmoor.relay.peers import peer_client
+from hoistmoor.relay.store import followers
 from hoistmoor.relay.versions import rollout_codec
 
 if TYPE_CHECKING:
@@ -127,7 +128,7 @@
     """Two relays of one failure domain: the reader, and the one that asks."""
     nowhere = os.open(os.devnull, os.O_WRONLY)
     monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
-    monkeypatch.setattr(application, "SERVERS_PAUSE", 0.02)
+    monkeypatch.setattr(followers, "SERVERS_PAUSE", 0.02)
     await platform.publish(platform.operator, "config", relay_parts.in_force())
     members: list[Member] = []
     async with sessions.make_session() as session:
--- a/tests/relay/peers/test_relay_tree_stateful.py
+++ b/tests/relay/peers/test_relay_tree_stateful.py
@@ -22,9 +22,11 @@
 
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.relay.peers import answers as answers_lib
+from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import peer_codec
-from hoistmoor.relay.peers import peers
+from hoistmoor.relay.peers import reader as reader_lib
 from hoistmoor.relay.store import follower
 from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import store_gate
@@ -77,16 +79,16 @@
             gate=gate,
         )
         followers = {"operator": self.operator, "hosts": self.operator}
-        self.answers = peers.PeerAnswers(self.state, followers)
+        self.answers = answers_lib.PeerAnswers(self.state, followers)
         sources = mirror.Sources("h", "z")
-        listing = peers.SelfListing(
+        listing = listing_lib.SelfListing(
             self.state,
             relay_platform.MemoryTopic(),
             mirror.Host("h", "z", "127.0.0.1:1"),
             sources,
             is_first_start=False,
         )
-        self.reader = peers.PeerReader(
+        self.reader = reader_lib.PeerReader(
             self.state,
             sources,
             followers,
@@ -211,14 +213,14 @@
 def test_an_age_that_counts_from_the_arrival_is_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    take = peers.PeerReader._take
+    take = reader_lib.PeerReader._take
 
     def take_as_of_now(
-        self: peers.PeerReader, answer: peer_codec.CopyAnswer, _: float
+        self: reader_lib.PeerReader, answer: peer_codec.CopyAnswer, _: float
     ) -> None:
         take(self, answer, self._state.clock())
 
-    monkeypatch.setattr(peers.PeerReader, "_take", take_as_of_now)
+    monkeypatch.setattr(reader_lib.PeerReader, "_take", take_as_of_now)
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(Tree, settings=PLAYED)
 
--- a/tests/relay/relay_cluster.py
+++ b/tests/relay/relay_cluster.py
@@ -12,7 +12,7 @@
 import contextlib
 import os
 import re
-from typing import Any, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 import aiohttp
 import attrs
@@ -23,6 +23,7 @@
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.store import followers
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -304,14 +305,11 @@
     monkeypatch: pytest.MonkeyPatch, relays: int, engines: int
 ) -> AsyncIterator[Cluster]:
     """Starts relays and engines; ends all of them at last."""
-    changed: dict[str, Any] = {
-        "SERVERS_PAUSE": 0.02,
-        "OPERATOR_WAIT": 0.2,
-        "HOSTS_PAUSE": 0.02,
-        "LOG_DESCRIPTOR": os.open(os.devnull, os.O_WRONLY),
-    }
-    for name, value in changed.items():
-        monkeypatch.setattr(application, name, value)
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
+    monkeypatch.setattr(followers, "SERVERS_PAUSE", 0.02)
+    monkeypatch.setattr(followers, "OPERATOR_WAIT", 0.2)
+    monkeypatch.setattr(followers, "HOSTS_PAUSE", 0.02)
     platform = relay_platform.MemoryPlatform()
     await platform.publish(platform.operator, "config", relay_parts.in_force())
     async with (
@@ -342,4 +340,4 @@
             await cluster.stop_relays()
             for engine in cluster.engines:
                 engine.end()
-    os.close(changed["LOG_DESCRIPTOR"])
+    os.close(nowhere)
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -23,9 +23,9 @@
 from hoistmoor.core import errors
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
+from hoistmoor.relay.peers import answers as answers_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import peer_codec
-from hoistmoor.relay.peers import peers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -267,7 +267,7 @@
             clock=asyncio.get_running_loop().time,
         )
         self._swarm.by_state[id(self.relay.state)] = self
-        self._answers = peers.PeerAnswers(
+        self._answers = answers_lib.PeerAnswers(
             self.relay.state, self.relay.followers
         )
         self._tasks = [
--- a/tests/relay/store/test_relay_store_gate.py
+++ b/tests/relay/store/test_relay_store_gate.py
@@ -17,6 +17,7 @@
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.store import followers
 from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
     nowhere = os.open(os.devnull, os.O_WRONLY)
     monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
     for name in ("SLOW_WAIT", "SERVERS_WAIT", "OPERATOR_WAIT"):
-        monkeypatch.setattr(application, name, 0.05)
+        monkeypatch.setattr(followers, name, 0.05)
     topics = [CountingTopic() for _ in range(4)]
     platform = relay_platform.MemoryPlatform(
         operator=topics[0],
