Have hosts tell one another which requests end servers

Cause: each host saw an end or two, and a start forgot all.

Ways weighed: a record of each strike in the store (a write for each request at each server that ends, and none while the store is away); a push to all hosts (360 calls an end); with the questions that hosts ask along the tree anyway, each change once (chosen). Strikes and clearances only grow, so the order does not matter. A host with news asks at once, not after 0.3 s. The host that reads the store lists convictions there, one write each, and a start copies them like any topic; dropping the record is the operators' way to lift one.

--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -32,6 +32,7 @@
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
+from hoistmoor.relay.store import convictions
 from hoistmoor.relay.store import followers as followers_lib
 from hoistmoor.relay.store import lease_watch
 from hoistmoor.relay.store import store_gate
@@ -129,11 +130,13 @@
         )
         self._sources = mirror.Sources(settings.host, settings.zone)
         self._gate = store_gate.StoreGate()
+        self._convicted = convictions.ConvictionListener(self.state)
         self.followers = followers_lib.make_followers(
             self.state,
             platform,
             self._sources,
             self._gate,
+            self._convicted,
             # Where other hosts may be asked, it is known soon who reads.
             yields=bool(settings.peer_listen),
         )
@@ -162,6 +165,12 @@
             self.followers["phases"],
             self._gate,
         ).run
+        self.loops["conviction_writes"] = convictions.ConvictionWriter(
+            self.state,
+            platform.topics.convictions,
+            self._convicted,
+            self._gate,
+        ).run
         if not settings.peer_listen:
             self.state.router.fleet.warmups.take_hosts([settings.host])
             return
--- a/src/hoistmoor/relay/peers/answers.py
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.peers import suspect_exchange
 
 if TYPE_CHECKING:
     from hoistmoor.relay import state as state_lib
@@ -58,4 +59,13 @@
             outstanding.told_to(asked.host, own, now),
             self._state.look_for_doubts(asked.doubts),
             rollouts.ages(now),
+            self._exchange_suspects(asked.suspects),
         )
+
+    def _exchange_suspects(
+        self, told: peer_codec.SuspectNews
+    ) -> peer_codec.SuspectNews:
+        """Takes what the other host tells; returns what is new here."""
+        self._state.take_suspects(told.suspects)
+        # What it told just now comes back to it once and changes nothing.
+        return suspect_exchange.news_of(self._state, told.heard, told.until)
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -10,6 +10,7 @@
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import suspects as suspects_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import records
 from hoistmoor.utils import addresses
@@ -30,6 +31,23 @@
     age: float
 
 
+@attrs.frozen
+class SuspectNews:
+    """What one host holds against requests and has not told another yet.
+
+    Attributes:
+        run_name: Run of the host that tells; serials are its own.
+        suspects: Oldest change first; some may be left for the next time.
+        until: Serial up to which they go.
+        heard: Serial of the other host's run up to which it was heard.
+    """
+
+    run_name: str = ""
+    suspects: tuple[suspects_lib.Suspect, ...] = ()
+    until: int = 0
+    heard: int = 0
+
+
 @attrs.frozen
 class CopyRequest:
     """Asks for what is new, and tells what the asking host has under way.
@@ -41,6 +59,7 @@
         evidence: What these have counted in the roll-outs under way.
         doubts: Numbers of roll-out orders whose targets are taken for bad.
         order_ages: Seconds since each roll-out order was seen, by its number.
+        suspects: What is held against requests.
     """
 
     offsets: dict[str, int | None]
@@ -49,6 +68,7 @@
     evidence: tuple[evidence_lib.Evidence, ...] = ()
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
+    suspects: SuspectNews = attrs.field(factory=SuspectNews)
 
 
 @attrs.frozen
@@ -61,6 +81,7 @@
         work: Work by server, of all other hosts that are known there.
         doubts: Numbers of roll-out orders whose targets are taken for bad.
         order_ages: Seconds since each roll-out order was seen, by its number.
+        suspects: What is held against requests.
     """
 
     depth: int
@@ -68,6 +89,7 @@
     work: outstanding.WorkByServer = attrs.field(factory=dict)
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
+    suspects: SuspectNews = attrs.field(factory=SuspectNews)
 
     def age(self, names: frozenset[str]) -> float:
         """Returns the age of the oldest of some topics, in seconds."""
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -16,6 +16,7 @@
 
 from hoistmoor.core.relay.beliefs import reading
 from hoistmoor.relay.peers import peer_codec
+from hoistmoor.relay.peers import suspect_exchange
 from hoistmoor.relay.store import follower as follower_lib
 from hoistmoor.relay.store import store_gate
 
@@ -32,7 +33,8 @@
 # Hosts that start together, within 0.3 s, are to list themselves before one
 # looks who the others are.
 OTHERS_LISTED = 0.35
-START_PERIOD = 0.1  # Seconds between two questions while a start waits.
+# Seconds between two questions while a start waits, or with urgent news.
+START_PERIOD = 0.1
 
 
 class PeerReader:
@@ -68,6 +70,7 @@
         self._followers = followers
         self._hosts = followers["hosts"]
         self._client = client
+        self._suspects = suspect_exchange.SuspectExchange(state)
 
     async def run(self) -> None:
         """Asks until cancelled."""
@@ -119,8 +122,14 @@
         if not self._hosts.known.is_set():
             await self._await_hosts(reading.PERIOD)
             return
+        await asyncio.sleep(START_PERIOD)
         is_starting = waits and not self._has_all()
-        await asyncio.sleep(START_PERIOD if is_starting else reading.PERIOD)
+        if is_starting:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(reading.PERIOD - START_PERIOD):
+                await self._state.has_urgent_news.wait()
+        self._state.has_urgent_news.clear()
 
     def _has_all(self) -> bool:
         return self._followers.keys() <= self._state.topics_read
@@ -199,6 +208,7 @@
             self._state.known_evidence(),
             self._state.look_for_doubts(),
             self._state.router.rollouts.ages(self._state.clock()),
+            self._suspects.question(host.name),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -206,6 +216,7 @@
             self._sources.note_failed(host.name, self._state.clock())
             return False
         self._sources.note_answered(host.name)
+        self._suspects.take(host.name, asked.suspects, answer.suspects)
         self._some_answered = True
         self._promising |= reading.is_worth_a_wait(
             self._listing.host.link,
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -39,6 +40,7 @@
             while this host reads the store itself.
         depth: Hosts between this one and the store.
         started_at: Steady time at which this process began.
+        has_urgent_news: Set once another host should be told at once.
     """
 
     clock: Callable[[], float]
@@ -58,6 +60,8 @@
     source: str = ""
     depth: int = 0
     started_at: float = attrs.field(init=False)
+    has_urgent_news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _suspects_noted: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Notes the time."""
@@ -94,16 +98,19 @@
             ],
         )
         self.router.note_server_end(server, now)
-        self.log_verdicts()
+        self.note_suspects()
 
     def take_suspects(self, told: Iterable[suspects_lib.Suspect]) -> None:
         """Takes what another host holds against requests."""
         self.router.take_suspects(told, self.clock())
-        self.log_verdicts()
+        self.note_suspects()
 
-    def log_verdicts(self) -> None:
-        """Writes which requests were convicted since the last time."""
+    def note_suspects(self) -> None:
+        """Has others be told at once, and writes new convictions."""
         suspects = self.router.suspects
+        if suspects.serial != self._suspects_noted:
+            self._suspects_noted = suspects.serial
+            self.has_urgent_news.set()
         for fingerprint in suspects.verdicts:
             self.believe("request_convicted", **suspects.reasons(fingerprint))
         suspects.verdicts.clear()
--- /dev/null
+++ b/src/hoistmoor/relay/store/convictions.py
@@ -0,0 +1,121 @@
+"""Keeps convicted requests in the store, for hosts that start anew.
+
+Hosts tell one another whom they convict. What all of them must not forget at
+once is written by the host that reads the store for the others. A host that
+starts copies it with the other topics.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoistmoor.core import errors
+from hoistmoor.core.relay.servers import suspects as suspects_lib
+from hoistmoor.relay import records
+
+if TYPE_CHECKING:
+    from hoistmoor.core.relay.beliefs import topics
+    from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.store import follower
+    from hoistmoor.relay.store import ports
+    from hoistmoor.relay.store import store_gate
+
+PERIOD = 0.25  # Seconds between two looks.
+RETRY = 1.0  # Seconds until a write that failed is tried again.
+_DROPPED = b""
+
+
+class ConvictionListener:
+    """Takes the requests that are listed in the store.
+
+    Attributes:
+        listed: Their fingerprints.
+    """
+
+    def __init__(self, state: state_lib.RelayState) -> None:
+        self.listed: set[str] = set()
+        self._state = state
+
+    def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
+        """Takes one update."""
+        batch = update.batch
+        if batch.is_snapshot:
+            for fingerprint in self.listed - {
+                each.key for each in batch.records
+            }:
+                self._drop(fingerprint)
+        for record in batch.records:
+            if record.value is None:
+                self._drop(record.key)
+            else:
+                self._take(record, record.value)
+        return batch.records
+
+    def _take(self, record: topics.Record, value: bytes) -> None:
+        try:
+            suspect = records.decode(value, suspects_lib.Suspect)
+        except ValueError as error:
+            self._state.note_unreadable("conviction", record, error)
+            return
+        self.listed.add(record.key)
+        self._state.take_suspects([suspect])
+
+    def _drop(self, fingerprint: str) -> None:
+        self.listed.discard(fingerprint)
+        self._state.router.suspects.forget(fingerprint)
+        self._state.believe("conviction_over", fingerprint=fingerprint)
+
+
+class ConvictionWriter:
+    """Lists convicted requests in the store, and drops those that are over."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        topic: ports.KeyedTopic,
+        listener: ConvictionListener,
+        gate: store_gate.StoreGate,
+    ) -> None:
+        """Makes the task.
+
+        Args:
+            state: What the relay knows.
+            topic: Where convictions are listed.
+            listener: Knows what is listed.
+            gate: Tells whether the store is there.
+        """
+        self._state = state
+        self._topic = topic
+        self._listener = listener
+        self._gate = gate
+
+    async def run(self) -> None:
+        """Looks until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD)
+            convicted = self._state.router.suspects.convicted(
+                self._state.clock()
+            )
+            self._state.note_suspects()
+            # One host writes for all, and only once it knows what is listed.
+            if self._state.source or not self._gate.is_heard:
+                continue
+            if "convictions" not in self._state.topics_read:
+                continue
+            try:
+                await self._write(convicted)
+            except errors.HoistmoorError as error:
+                self._state.log.write("conviction_waits", detail=error.problem)
+                await asyncio.sleep(RETRY)
+
+    async def _write(self, convicted: dict[str, suspects_lib.Suspect]) -> None:
+        listed = self._listener.listed
+        for fingerprint in convicted.keys() - listed:
+            await self._topic.put(
+                fingerprint, records.encode(convicted[fingerprint])
+            )
+            listed.add(fingerprint)
+        for fingerprint in listed - convicted.keys():
+            await self._topic.put(fingerprint, _DROPPED)
+            listed.discard(fingerprint)
--- a/src/hoistmoor/relay/store/followers.py
+++ b/src/hoistmoor/relay/store/followers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hoistmoor.relay.peers import listing
+from hoistmoor.relay.store import convictions
 from hoistmoor.relay.store import follower
 from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import ports
@@ -55,6 +56,7 @@
     platform: ports.Platform,
     sources: mirror.Sources,
     gate: store_gate.StoreGate,
+    convicted: convictions.ConvictionListener,
     *,
     yields: bool,
 ) -> dict[str, follower.TopicFollower]:
@@ -65,6 +67,7 @@
         platform: Where it learns it.
         sources: The other hosts.
         gate: Holds reads back while the store is away.
+        convicted: Takes the requests that are refused.
         yields: Whether other hosts may read for this one.
     """
     topics, codec = platform.topics, platform.codec
@@ -95,6 +98,12 @@
             pause=HOSTS_PAUSE,
             is_held=not yields,
         ),
+        "convictions": _Reading(
+            topics.convictions,
+            convicted,
+            wait=SLOW_WAIT,
+            pause=HOSTS_PAUSE,
+        ),
     }
     return {
         name: follower.TopicFollower(
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -38,7 +38,7 @@
 
         Args:
             key: What it is about.
-            value: Its content.
+            value: Its content; empty to drop the key.
             expected_offset: Add it only if the topic ends there.
 
         Returns:
@@ -57,6 +57,8 @@
         phases: Phases of roll-outs; the relay's own.
         evidence: Counts of answers in roll-outs; the relay's own.
         hosts: Entries of the relays themselves.
+        convictions: Requests that are refused as servers end when they run
+            them, by fingerprint; the relay's own.
     """
 
     operator: KeyedTopic
@@ -65,6 +67,7 @@
     phases: KeyedTopic
     evidence: KeyedTopic
     hosts: KeyedTopic
+    convictions: KeyedTopic
 
 
 class Codec(Protocol):
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -51,6 +51,8 @@
     "listing",
     "peers",
     "rollouts",
+    "convictions",
+    "conviction_writes",
 )
 
 
@@ -251,7 +253,15 @@
             self._settings, is_first_start=not self._has_run
         )
         self._has_run = True
-        names = ("operator", "servers", "status", "phases", "evidence", "hosts")
+        names = (
+            "operator",
+            "servers",
+            "status",
+            "phases",
+            "evidence",
+            "hosts",
+            "convictions",
+        )
         port = self._swarm.store.platform.as_port()
         own = {
             name: StoreTopic(self._swarm.store, name, self.name, self.link)
--- a/tests/relay/store/test_relay_store_gate.py
+++ b/tests/relay/store/test_relay_store_gate.py
@@ -90,12 +90,13 @@
     monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
     for name in ("SLOW_WAIT", "SERVERS_WAIT", "OPERATOR_WAIT"):
         monkeypatch.setattr(followers, name, 0.05)
-    topics = [CountingTopic() for _ in range(4)]
+    topics = [CountingTopic() for _ in range(5)]
     platform = relay_platform.MemoryPlatform(
         operator=topics[0],
         servers=topics[1],
         phases=topics[2],
         hosts=topics[3],
+        convictions=topics[4],
     )
     await platform.publish(platform.operator, "config", relay_parts.in_force())
     settings = settings_lib.RelaySettings(
@@ -124,7 +125,7 @@
 ) -> None:
     async with started(monkeypatch, is_away=False) as made:
         topics, state = made.topics, made.relay.state
-        await until(lambda: len(state.topics_read) == 4)
+        await until(lambda: len(state.topics_read) == 5)
         made.set_away(is_away=True)
         await asyncio.sleep(0.3)  # What was under way ends.
         before = [topic.calls for topic in topics]
@@ -151,6 +152,6 @@
         # The first call was the fixture's own.
         await until(lambda: topics[0].calls >= 4)
         tried = [topic.calls for topic in topics[1:]]
-        assertions.assert_that(tried, matchers.Equals([0, 0, 0]))
+        assertions.assert_that(tried, matchers.Equals([0, 0, 0, 0]))
         made.set_away(is_away=False)
-        await until(lambda: len(made.relay.state.topics_read) == 4)
+        await until(lambda: len(made.relay.state.topics_read) == 5)
--- a/tests/relay/test_relay_crashing_request.py
+++ b/tests/relay/test_relay_crashing_request.py
@@ -74,6 +74,18 @@
     assertions.assert_that(arrived, matchers.LessThan(MOST_TRIES + 1))
 
 
+async def test_hosts_that_start_anew_still_know_the_request(
+    cluster: relay_cluster.Cluster,
+) -> None:
+    await end_three(cluster)
+    await cluster.talk()
+    arrived = 0
+    for _ in range(3):
+        await cluster.restart_relays()
+        arrived += await tries_that_arrive(cluster, RELAYS)
+    assertions.assert_that(arrived, matchers.LessThan(MOST_TRIES + 1))
+
+
 async def test_what_runs_beside_it_costs_callers_nothing(
     cluster: relay_cluster.Cluster,
 ) -> None:
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -64,7 +64,9 @@
         self._check()
         if expected_offset not in (None, len(self.records)):
             return None
-        self.records.append(topics.Record(key, value, len(self.records)))
+        self.records.append(
+            topics.Record(key, value or None, len(self.records))
+        )
         if self.loses_answers:
             raise errors.LogOutcomeUnknownError("lost", "Read first.")
         return len(self.records)
@@ -124,6 +126,7 @@
     phases: MemoryTopic = attrs.field(factory=MemoryTopic)
     evidence: MemoryTopic = attrs.field(factory=MemoryTopic)
     hosts: MemoryTopic = attrs.field(factory=MemoryTopic)
+    convictions: MemoryTopic = attrs.field(factory=MemoryTopic)
     codec: NamedCodec = attrs.field(factory=NamedCodec)
 
     def as_port(self) -> ports.Platform:
@@ -135,6 +138,7 @@
             self.phases,
             self.evidence,
             self.hosts,
+            self.convictions,
         )
         return ports.Platform(
             topics,
