Count the time for which a machine is suspended

Cause: leases, ages, rests, budgets and deadlines were read from the clock of timers, which stands still while a machine is suspended. A host that woke after 30 s took its configuration for current.

Change: the relay's clock counts suspensions (CLOCK_BOOTTIME). Timers do not: a watch compares the two clocks each 0.25 s, ends requests whose time ran out meanwhile, and writes a line. Rounds of a graceful stop look at the clock twice a second.

Ruled out: the time of day (it jumps); a check at each admission of the two clocks alone (a belief's age would still be wrong).

Tests fail with the clock of timers: lease, deadline of a request under way, time passed on to a server.

--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -7,7 +7,6 @@
 import functools
 import gc
 import os
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -24,6 +23,7 @@
 from hoistmoor.relay import event_log
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
+from hoistmoor.relay import suspension
 from hoistmoor.relay.front import admission
 from hoistmoor.relay.front import front as front_lib
 from hoistmoor.relay.front import relay_task
@@ -37,6 +37,7 @@
 from hoistmoor.relay.store import lease_watch
 from hoistmoor.relay.store import store_gate
 from hoistmoor.relay.versions import rollout_task
+from hoistmoor.utils import clocks
 from hoistmoor.utils import listening
 from hoistmoor.utils import signals
 
@@ -51,6 +52,9 @@
 # Seconds from the stop signal in which requests are still taken: the balancer
 # asks once a second and needs two refusals.
 TAKE_ON = 2.5
+# Seconds between two looks at the clock meanwhile: it goes on while the machine
+# is suspended, and timers do not.
+STOP_LOOK = 0.5
 STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
 UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
@@ -64,6 +68,7 @@
     Attributes:
         settings: Its settings.
         settings_task: Takes changed settings.
+        suspension: Notices that the machine was suspended.
         state: What it knows.
         front: Serves callers.
         followers: Read the topics, by name.
@@ -79,7 +84,7 @@
         backends: relay_task.BackendSessions,
         peer_session: aiohttp.ClientSession,
         read_settings: Callable[[], settings_lib.RelaySettings],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.steady,
     ) -> None:
         """Makes a relay; nothing runs yet.
 
@@ -89,7 +94,7 @@
             backends: Open connections to backend servers.
             peer_session: Opens connections to other relays.
             read_settings: Reads the settings again.
-            clock: Steady time, in seconds.
+            clock: Steady time that counts suspensions, in seconds.
         """
         self.settings = settings
         self.addresses: list[str] = []
@@ -114,6 +119,8 @@
             not_run_statuses=platform.not_run_statuses,
             has_end_mark=False,
         )
+        deadlines = suspension.Deadlines()
+        self.suspension = suspension.SuspensionWatch(self.state, deadlines)
         self.front = front_lib.Front(
             self.state,
             admission.Admission(self.state, platform.headers, draws),
@@ -122,6 +129,7 @@
                 platform.headers,
                 dialect,
                 server_ends.ServerEnds(self.state),
+                deadlines,
             ),
             draws,
         )
@@ -157,6 +165,7 @@
         settings = self.settings
         self.loops = {name: each.run for name, each in self.followers.items()}
         self.loops["settings"] = self.settings_task.run
+        self.loops["suspension"] = self.suspension.run
         self.loops["lease"] = lease_watch.LeaseWatch(self.state).run
         self.loops["rollouts"] = rollout_task.RolloutTask(
             self.state,
@@ -265,7 +274,8 @@
         end = began + self.settings.stop_timeout - STOP_MARGIN
         while self.front.running and state.clock() < end:
             await asyncio.wait(
-                set(self.front.running), timeout=end - state.clock()
+                set(self.front.running),
+                timeout=min(STOP_LOOK, end - state.clock()),
             )
         state.log.write("stop", left=len(self.front.running))
 
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -16,6 +17,7 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.relay import suspension
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import forwarding
 from hoistmoor.relay.front import header_names
@@ -34,6 +36,9 @@
 # Where an exchange ends so, the server is not at the request any more.
 _OVER = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
 
+# Seconds after the deadline at which an exchange is ended that has not ended by
+# its own timer.
+AFTER_DEADLINE = 0.1
 CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
 
 
@@ -67,12 +72,14 @@
         names: What headers are called.
         dialect: How servers name an attempt and decline it.
         ends: Tells which servers have ended.
+        deadlines: Has timers count suspensions of the machine.
     """
 
     sessions: BackendSessions
     names: header_names.HeaderNames
     dialect: dialect_lib.Dialect
     ends: server_ends.ServerEnds
+    deadlines: suspension.Deadlines
 
 
 class RelayTask:
@@ -129,7 +136,7 @@
         attempt = self._open(send)
         outcome = pace.AttemptOutcome.LEFT
         try:
-            state = await self._exchange(attempt)
+            state = await self._exchange_in_time(attempt)
             outcome = attempt.outcome(
                 state, self._links.dialect.not_run_statuses
             )
@@ -189,6 +196,26 @@
             send, now, exchange, events_before=self._sequence.events
         )
 
+    async def _exchange_in_time(
+        self, attempt: attempt_lib.Attempt
+    ) -> outcomes.ExchangeState:
+        """Returns how far the exchange had come when it ended.
+
+        Its own timer stands still while the machine is suspended.
+        """
+        left = max(0.0, attempt.send.deadline - self._now())
+        timer = asyncio.timeout(left + AFTER_DEADLINE)
+        with self._links.deadlines.counted(timer):
+            try:
+                async with timer:
+                    return await self._exchange(attempt)
+            except TimeoutError:
+                if not timer.expired():
+                    raise
+        attempt.detail = "the machine was suspended past the deadline"
+        state = attempt.exchange.state
+        return _State.ANSWERING if state is _State.ANSWERED else state
+
     async def _exchange(
         self, attempt: attempt_lib.Attempt
     ) -> outcomes.ExchangeState:
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -24,7 +24,7 @@
     """What one relay knows.
 
     Attributes:
-        clock: Steady time, in seconds.
+        clock: Steady time that counts suspensions, in seconds.
         log: Where decisions are written.
         counters: What is counted.
         router: Backend servers, roll-outs, budgets.
