--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -271,6 +271,7 @@
     def _note_well(
         self, request: requests.RelayRequest, send: messages.Send, now: float
     ) -> None:
+        send.server.has_ended = False  # It has come back by the same name.
         self._note_health(send.server.health, now, is_well=True)
 
     def _note_failed(
--- a/src/hoistmoor/core/relay/servers/runs.py
+++ b/src/hoistmoor/core/relay/servers/runs.py
@@ -78,11 +78,15 @@
         """Notes that an attempt has ended here."""
         self._under_way.discard(run)
         run.left_at = now
+        self._drop_old(now)
         if not run.is_over:
             self._recent.append(run)
 
     def present(self, now: float) -> list[Run]:
         """Returns the runs that the server may be at."""
+        self._drop_old(now)
+        return [*self._under_way, *self._recent]
+
+    def _drop_old(self, now: float) -> None:
         while self._recent and now - (self._recent[0].left_at or 0.0) > RECENT:
             self._recent.popleft()
-        return [*self._under_way, *self._recent]
--- a/src/hoistmoor/core/relay/servers/suspects.py
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -46,6 +46,7 @@
 SETTLED = 1.0
 MOST_SUSPECTS = 256  # Requests with strikes, at most; a server has 64 at once.
 MOST_CONVICTED = 256  # Requests that are refused, at most.
+DROPPED_AT_ONCE = 8  # An eighth of them, where there are too many.
 MOST_STRIKES = 8  # Newest ones that are kept of a request.
 MOST_TOLD = 32  # Suspects in one message: 4 KB.
 # Seconds for which a convicted request is refused; the servers' software may
@@ -100,6 +101,15 @@
         """Servers whose ends are held against it."""
         return [each for each in self.strikes if each not in self.void]
 
+    @property
+    def starts(self) -> list[str]:
+        """Those of them that ended as its run had begun."""
+        return [
+            each
+            for each in self.counted
+            if self.strikes[each] is runs_lib.Stage.BEGUN
+        ]
+
     def clear(self, servers: set[str]) -> None:
         """Voids the ends of some servers; without any left it is innocent."""
         self.void |= servers
@@ -238,7 +248,9 @@
         Whoever merely ran there is not to lose an attempt by it.
         """
         case = self._cases.get(fingerprint)
-        return case is None or len(self._likely(case)) < CONVICTING_STARTS
+        if case is None or len(case.counted) < CONVICTING_STARTS:
+            return True
+        return len(self._likely(case)) < CONVICTING_STARTS
 
     def convicted(self, now: float) -> dict[str, Suspect]:
         """Returns the requests that are refused."""
@@ -291,7 +303,10 @@
         return known
 
     def _make_room(self) -> None:
-        """Drops the least of the suspects, or the oldest of the convicted."""
+        """Drops the least of the suspects, and of those that are refused.
+
+        Some at once: a mass of servers that end brings thousands of suspects.
+        """
         for is_refused, most in (
             (False, MOST_SUSPECTS),
             (True, MOST_CONVICTED),
@@ -301,13 +316,14 @@
                 for each in self._cases.values()
                 if each.is_refused is is_refused
             ]
-            if len(cases) > most:
-                # The new one is last and has no strike yet.
-                least = min(
-                    cases[:-1],
-                    key=lambda each: (len(each.counted), each.newest),
-                )
-                del self._cases[least.fingerprint]
+            if len(cases) <= most:
+                continue
+            # The newest has no strike yet, and is to stay.
+            old = sorted(
+                cases[:-1], key=lambda each: (len(each.counted), each.newest)
+            )
+            for case in old[: most // DROPPED_AT_ONCE]:
+                del self._cases[case.fingerprint]
 
     def _touch(self, case: _Case) -> None:
         self.serial += 1
@@ -324,13 +340,16 @@
         self.verdicts.append(case.fingerprint)
 
     def _is_guilty(self, case: _Case, now: float) -> bool:
-        starts = [
-            server
-            for server in case.counted
-            if self._is_only_start(case, server)
-        ]
-        if len(starts) >= CONVICTING_STARTS:
-            return True
+        # Most suspects have one strike, and a mass of servers that end makes
+        # thousands of them: the others at each end are looked at for few.
+        if len(case.starts) >= CONVICTING_STARTS:
+            only = [
+                each for each in case.starts if self._is_only_start(case, each)
+            ]
+            if len(only) >= CONVICTING_STARTS:
+                return True
+        if len(case.counted) < CONVICTING_ENDS:
+            return False
         settled = [
             server
             for server in self._likely(case)
@@ -350,9 +369,8 @@
         ]
 
     def _is_only_start(self, case: _Case, server: str) -> bool:
-        return case.strikes[server] is runs_lib.Stage.BEGUN and not any(
-            other.strikes[server] is runs_lib.Stage.BEGUN
-            for other in self._others_at(case, server)
+        return not any(
+            server in other.starts for other in self._others_at(case, server)
         )
 
     def _others_at(self, case: _Case, server: str) -> list[_Case]:
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -61,7 +61,6 @@
     depth: int = 0
     started_at: float = attrs.field(init=False)
     has_urgent_news: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _suspects_noted: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Notes the time."""
@@ -106,10 +105,9 @@
         self.note_suspects()
 
     def note_suspects(self) -> None:
-        """Has others be told at once, and writes new convictions."""
+        """Writes new convictions, and has others be told at once."""
         suspects = self.router.suspects
-        if suspects.serial != self._suspects_noted:
-            self._suspects_noted = suspects.serial
+        if suspects.verdicts:
             self.has_urgent_news.set()
         for fingerprint in suspects.verdicts:
             self.believe("request_convicted", **suspects.reasons(fingerprint))
