--- a/src/hoistmoor/console/commands/story.py
+++ b/src/hoistmoor/console/commands/story.py
@@ -22,6 +22,7 @@
     "store_lost",
     "store_regained",
     "readiness",
+    "resumed",
     "rollout_phase",
     "stopping",
 )
@@ -103,8 +104,16 @@
         for line in before
         if str(line.fields.get("server", "\n")) in asked
     }
+    fingerprints = {line.fields.get("fingerprint") for line in own} - {None}
+    verdicts = [
+        line
+        for line in before
+        if line.event == "request_convicted"
+        and line.fields.get("fingerprint") in fingerprints
+    ]
     context = sorted(
-        [*newest.values(), *servers.values()], key=lambda line: line.at
+        [*newest.values(), *servers.values(), *verdicts],
+        key=lambda line: line.at,
     )
     return [
         f"{host}:",
--- a/tests/console/test_console_story.py
+++ b/tests/console/test_console_story.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.console import application
 from hoistmoor.console import exit_codes
+from hoistmoor.console.commands import story
 
 if TYPE_CHECKING:
     import pathlib
@@ -50,3 +51,14 @@
     code = application.main(["story", "r9", str(log)])
     assertions.assert_that(code, matchers.Equals(exit_codes.ExitCode.FAILED))
     assertions.assert_that(capsys.readouterr().err, matchers.Contains("r9"))
+
+
+def test_a_story_tells_why_a_request_was_convicted() -> None:
+    lines = [
+        story.Line("h1", 1.0, "request_convicted", {"fingerprint": "bad"}),
+        story.Line("h1", 1.5, "request_convicted", {"fingerprint": "other"}),
+        story.Line("h1", 2.0, "request", {"id": "r1", "fingerprint": "bad"}),
+    ]
+    told = story.tell(lines, "r1")
+    assertions.assert_that(told, matchers.HasLength(3))
+    assertions.assert_that(told[1], matchers.Contains('"bad"'))
