Hold nothing against a request that was just answered; soak with one that ends servers

Cause: where all callers send the same in the same words, as the soak's do, two servers that ended by themselves would have convicted that request, and nobody could have cleared it, as it is refused then. By reading, then by a test that failed.

Change: for a minute after a whole answer a host holds nothing against a request, and says so to whoever does (4,096 answers are remembered).

The soak now has a request that ends whoever runs it, sent to any relay all the while, and servers that come back as new starts.

--- a/src/hoistmoor/core/relay/servers/suspects.py
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -15,7 +15,9 @@
   more, none was ever cut so (log of a played day, 7 hosts and 6 servers).
 - Other strikes count where no other request is the likelier cause of that end,
   once the other hosts have had time to tell of theirs. Four of them convict.
-- A whole answer clears: what was held against the request until then is void.
+- A whole answer clears: what was held against the request until then is void,
+  and nothing is held against it for a minute. Many callers may ask for the same
+  in the same words, and some server or other ends under them by itself.
 
 A convicted request is refused. What is known of a suspect only grows, so hosts
 merge what they are told in any order, and need not agree on who tells first.
@@ -44,6 +46,11 @@
 # Seconds after which the other hosts' strikes for the same end are known, two
 # hosts between.
 SETTLED = 1.0
+# Seconds after a whole answer for which nothing is held against a request. A
+# request that all callers send alike would else be refused once two servers
+# ended by themselves, and then nobody could clear it.
+VOUCHED = 60.0
+MOST_VOUCHED = 4096  # Answered requests that are remembered: 0.6 MB.
 MOST_SUSPECTS = 256  # Requests with strikes, at most; a server has 64 at once.
 MOST_CONVICTED = 256  # Requests that are refused, at most.
 DROPPED_AT_ONCE = 8  # An eighth of them, where there are too many.
@@ -164,6 +171,8 @@
         self.serial = 0
         self.verdicts: list[str] = []
         self._cases: dict[str, _Case] = {}
+        # Steady times of the newest whole answers here, oldest first.
+        self._answered: dict[str, float] = {}
 
     def note_end(
         self, server: str, runs: Iterable[runs_lib.Run], now: float
@@ -180,14 +189,20 @@
             stage = _strike_of(run, now)
             if not run.fingerprint or stage is None:
                 continue
+            if self._is_vouched(run.fingerprint, now):
+                continue
             case = self._case(run.fingerprint, now)
             if case.add(server, stage, now):
                 case.newest = now
                 touched.append(case)
         self._judge(touched, now)
 
-    def note_answered(self, fingerprint: str) -> None:
+    def note_answered(self, fingerprint: str, now: float) -> None:
         """Notes that a server answered a request whole, and lived."""
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = now
+        if len(self._answered) > MOST_VOUCHED:
+            del self._answered[next(iter(self._answered))]
         case = self._cases.get(fingerprint)
         if case is None or not case.counted:
             return
@@ -213,6 +228,8 @@
             ]
             servers.update(dict.fromkeys(new))
             void = case.strikes.keys() & set(suspect.void) - case.void
+            if self._is_vouched(suspect.fingerprint, now):
+                void = case.strikes.keys() - case.void
             case.clear(void)
             is_refused = not case.is_refused and case.confirms(suspect)
             if is_refused:
@@ -295,6 +312,11 @@
         until = self.serial if is_all else new[-1].serial
         return tuple(each.told(now) for each in new), until
 
+    def _is_vouched(self, fingerprint: str, now: float) -> bool:
+        """Returns whether the request was answered here a short time ago."""
+        answered_at = self._answered.get(fingerprint)
+        return answered_at is not None and now - answered_at <= VOUCHED
+
     def _case(self, fingerprint: str, newest: float) -> _Case:
         known = self._cases.get(fingerprint)
         if known is None:
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -147,7 +147,9 @@
                 self._request, send, outcome, self._now()
             )
         if state is _State.ANSWERED and 200 <= attempt.status < 300:
-            self._state.router.suspects.note_answered(self._request.fingerprint)
+            self._state.router.suspects.note_answered(
+                self._request.fingerprint, self._now()
+            )
         if attempt.is_cut:
             await self._links.ends.has_ended(send.server)
         self._note_attempt(attempt, state)
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 
@@ -19,6 +20,7 @@
 HEARTBEAT = 1.0  # Seconds between two entries.
 EVENTS = 5  # Of each stream.
 PAUSE = 0.04  # Seconds between two events.
+CRASH_PATH = "/stream/crash"  # A request that ends whoever runs it.
 WORK = 0.02  # Seconds of a plain request.
 
 _HEADERS = "Hoistmoor-Request-Id", "Hoistmoor-Tenant", "Hoistmoor-Deadline-Ms"
@@ -50,6 +52,8 @@
                 status=421, headers={"Hoistmoor-Request-Id": request_id}
             )
         self._tell(request, request_id, tenant, left)
+        if request.path == CRASH_PATH:
+            os._exit(1)
         headers = {
             "Hoistmoor-Request-Id": request_id,
             "Hoistmoor-Response-Signature": "soak",
@@ -105,6 +109,8 @@
             "state": "ready",
             "warmup_left_ms": 0,
             "sequence": 1,
+            # Each start of a server is another server.
+            "born": int(time.time() * 1000),
         }
     )
     url = f"http://{store}/admin/put"
--- a/tests/soak/soak_proxy.py
+++ b/tests/soak/soak_proxy.py
@@ -35,6 +35,7 @@
     listen: str = ""
     fault: str = _CALM
     _server: asyncio.Server | None = None
+    _comeback: asyncio.Task[None] | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -52,6 +53,8 @@
 
     def close(self) -> None:
         """Ends all connections."""
+        if self._comeback is not None:
+            self._comeback.cancel()
         if self._server is not None:
             self._server.close()
         for writer in tuple(self._writers):
@@ -91,12 +94,39 @@
                 await self._hold(is_answer)
                 writer.write(data)
                 await writer.drain()
+            if is_answer:
+                await self._refuse_while_away()
         except OSError:
+            if is_answer:
+                await self._refuse_while_away()
             _reset(writer)
             return
         # A half-closed connection is not used by HTTP: end both halves.
         writer.close()
 
+    async def _refuse_while_away(self) -> None:
+        """Takes no connections while the target takes none, as it would."""
+        if self._server is None or await self._is_target_up():
+            return
+        self._server.close()
+        self._server = None
+        self._comeback = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        while not await self._is_target_up():
+            await asyncio.sleep(0.05)
+        ip, _, port = self.listen.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
+    async def _is_target_up(self) -> bool:
+        ip, _, port = self.target.rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def _hold(self, is_answer: bool) -> None:
         if self.fault == _DELAYED:
             await asyncio.sleep(DELAY)
