Convict only the likeliest; keep cases in a module of their own

Two requests that were together at four ends would both have been refused, though one of them is innocent: now the next end tells. The test of it failed before. The rest moves types to core/relay/servers/cases.

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.course import budget
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspects as suspects_lib
@@ -325,7 +326,7 @@
         )
 
     def take_suspects(
-        self, told: Iterable[suspects_lib.Suspect], now: float
+        self, told: Iterable[cases_lib.Suspect], now: float
     ) -> None:
         """Takes what another host holds against requests.
 
--- a/src/hoistmoor/core/relay/servers/suspects.py
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -13,8 +13,8 @@
   crash at the begin of a run looks like. Two of them, at two servers, convict.
   Of 375 requests that were cut beside such a one, 80 of them three times or
   more, none was ever cut so (log of a played day, 7 hosts and 6 servers).
-- Other strikes count where no other request is the likelier cause of that end,
-  once the other hosts have had time to tell of theirs. Four of them convict.
+- Other strikes count where the request is the likeliest cause of that end, once
+  the other hosts have had time to tell of theirs. Four of them convict.
 - A whole answer clears: what was held against the request until then is void,
   and nothing is held against it for a minute. Many callers may ask for the same
   in the same words, and some server or other ends under them by itself.
@@ -27,22 +27,16 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
-from hoistmoor.core.relay.servers import runs as runs_lib
+from hoistmoor.core.relay.servers import cases as cases_lib
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Servers that a request has ended, as its run had begun, until it is refused.
-# One may be chance; a third one would cost a service of six half its servers.
-CONVICTING_STARTS = 2
+    from hoistmoor.core.relay.servers import runs as runs_lib
+
 # Servers that it may have ended in any other way. Four, as a request that runs
 # beside it may be cut at three of them in a row by chance.
 CONVICTING_ENDS = 4
-# Seconds from a run's begin to the server's end within which it may be the
-# cause; a request that ends a server does so as it begins to run.
-AT_BEGIN = 1.0
 # Seconds after which the other hosts' strikes for the same end are known, two
 # hosts between.
 SETTLED = 1.0
@@ -54,111 +48,12 @@
 MOST_SUSPECTS = 256  # Requests with strikes, at most; a server has 64 at once.
 MOST_CONVICTED = 256  # Requests that are refused, at most.
 DROPPED_AT_ONCE = 8  # An eighth of them, where there are too many.
-MOST_STRIKES = 8  # Newest ones that are kept of a request.
 MOST_TOLD = 32  # Suspects in one message: 4 KB.
 # Seconds for which a convicted request is refused; the servers' software may
 # be mended by then.
 CONVICTION = 3600.0
 
 
-@attrs.frozen
-class Suspect:
-    """What is held against one request, as hosts tell it.
-
-    Attributes:
-        fingerprint: Of the request.
-        strikes: How far its run had come, by the identity of the server that
-            ended; the newest last.
-        void: Servers whose ends count no more, as it was answered since.
-        is_refused: Whether it was convicted.
-        age: Seconds since its newest strike.
-    """
-
-    fingerprint: str
-    strikes: dict[str, runs_lib.Stage] = attrs.field(factory=dict)
-    void: tuple[str, ...] = ()
-    is_refused: bool = False
-    age: float = 0.0
-
-
-@attrs.define(eq=False)
-class _Case:
-    """One suspect, as this host knows it.
-
-    Attributes:
-        fingerprint: Of the request.
-        strikes: As in ``Suspect``.
-        learnt: Steady time at which each strike was learnt, by its server.
-        void: As in ``Suspect``.
-        is_refused: Whether it was convicted.
-        newest: Steady time of its newest strike.
-        serial: Grows with each change, over all cases.
-    """
-
-    fingerprint: str
-    newest: float
-    strikes: dict[str, runs_lib.Stage] = attrs.field(factory=dict)
-    learnt: dict[str, float] = attrs.field(factory=dict)
-    void: set[str] = attrs.field(factory=set)
-    is_refused: bool = False
-    serial: int = 0
-
-    @property
-    def counted(self) -> list[str]:
-        """Servers whose ends are held against it."""
-        return [each for each in self.strikes if each not in self.void]
-
-    @property
-    def starts(self) -> list[str]:
-        """Those of them that ended as its run had begun."""
-        return [
-            each
-            for each in self.counted
-            if self.strikes[each] is runs_lib.Stage.BEGUN
-        ]
-
-    def clear(self, servers: set[str]) -> None:
-        """Voids the ends of some servers; without any left it is innocent."""
-        self.void |= servers
-        if not self.counted:
-            self.is_refused = False
-
-    def confirms(self, told: Suspect) -> bool:
-        """Returns whether what convicted it elsewhere counts here."""
-        counted = set(told.strikes) - self.void
-        return told.is_refused and len(counted) >= CONVICTING_STARTS
-
-    def add(self, server: str, stage: runs_lib.Stage, now: float) -> bool:
-        """Takes a strike; returns whether it is new, or weighs more."""
-        known = self.strikes.get(server)
-        if known is runs_lib.Stage.BEGUN or known is stage:
-            return False
-        if known is not None and stage is not runs_lib.Stage.BEGUN:
-            return False
-        self.strikes[server] = stage
-        self.learnt.setdefault(server, now)
-        if len(self.strikes) > MOST_STRIKES:
-            oldest = next(iter(self.strikes))
-            del self.strikes[oldest], self.learnt[oldest]
-            self.void.discard(oldest)
-        return True
-
-    def weight(self, server: str) -> tuple[bool, bool, int]:
-        """Returns how likely it is the cause of a server's end."""
-        is_start = self.strikes[server] is runs_lib.Stage.BEGUN
-        return self.is_refused, is_start, len(self.counted)
-
-    def told(self, now: float) -> Suspect:
-        """Returns it as it is told to other hosts."""
-        return Suspect(
-            self.fingerprint,
-            dict(self.strikes),
-            tuple(sorted(self.void)),
-            self.is_refused,
-            now - self.newest,
-        )
-
-
 class SuspectBook:
     """What is held against requests, by this host and those that told it.
 
@@ -170,7 +65,7 @@
     def __init__(self) -> None:
         self.serial = 0
         self.verdicts: list[str] = []
-        self._cases: dict[str, _Case] = {}
+        self._cases: dict[str, cases_lib.Case] = {}
         # Steady times of the newest whole answers here, oldest first.
         self._answered: dict[str, float] = {}
 
@@ -186,7 +81,7 @@
         """
         touched = []
         for run in runs:
-            stage = _strike_of(run, now)
+            stage = cases_lib.strike_of(run, now)
             if not run.fingerprint or stage is None:
                 continue
             if self._is_vouched(run.fingerprint, now):
@@ -209,7 +104,7 @@
         case.clear(set(case.strikes))
         self._touch(case)
 
-    def take(self, told: Iterable[Suspect], now: float) -> list[str]:
+    def take(self, told: Iterable[cases_lib.Suspect], now: float) -> list[str]:
         """Takes what another host holds against requests.
 
         Returns:
@@ -265,11 +160,11 @@
         Whoever merely ran there is not to lose an attempt by it.
         """
         case = self._cases.get(fingerprint)
-        if case is None or len(case.counted) < CONVICTING_STARTS:
+        if case is None or len(case.counted) < cases_lib.CONVICTING_STARTS:
             return True
-        return len(self._likely(case)) < CONVICTING_STARTS
+        return len(self._likely(case)) < cases_lib.CONVICTING_STARTS
 
-    def convicted(self, now: float) -> dict[str, Suspect]:
+    def convicted(self, now: float) -> dict[str, cases_lib.Suspect]:
         """Returns the requests that are refused."""
         return {
             fingerprint: self._cases[fingerprint].told(now)
@@ -294,7 +189,9 @@
         """Forgets what is held against a request."""
         self._cases.pop(fingerprint, None)
 
-    def news(self, after: int, now: float) -> tuple[tuple[Suspect, ...], int]:
+    def news(
+        self, after: int, now: float
+    ) -> tuple[tuple[cases_lib.Suspect, ...], int]:
         """Returns what has changed, oldest first, and up to which serial.
 
         Args:
@@ -317,10 +214,12 @@
         answered_at = self._answered.get(fingerprint)
         return answered_at is not None and now - answered_at <= VOUCHED
 
-    def _case(self, fingerprint: str, newest: float) -> _Case:
+    def _case(self, fingerprint: str, newest: float) -> cases_lib.Case:
         known = self._cases.get(fingerprint)
         if known is None:
-            known = self._cases[fingerprint] = _Case(fingerprint, newest)
+            known = self._cases[fingerprint] = cases_lib.Case(
+                fingerprint, newest
+            )
             self._make_room()
         return known
 
@@ -347,55 +246,74 @@
             for case in old[: most // DROPPED_AT_ONCE]:
                 del self._cases[case.fingerprint]
 
-    def _touch(self, case: _Case) -> None:
+    def _touch(self, case: cases_lib.Case) -> None:
         self.serial += 1
         case.serial = self.serial
 
-    def _judge(self, cases: list[_Case], now: float) -> None:
+    def _judge(self, cases: list[cases_lib.Case], now: float) -> None:
         for case in cases:
             self._touch(case)
         for case in cases:
             self.is_convicted(case.fingerprint, now)
 
-    def _convict(self, case: _Case) -> None:
+    def _convict(self, case: cases_lib.Case) -> None:
         case.is_refused = True
         self.verdicts.append(case.fingerprint)
 
-    def _is_guilty(self, case: _Case, now: float) -> bool:
+    def _is_guilty(self, case: cases_lib.Case, now: float) -> bool:
         # Most suspects have one strike, and a mass of servers that end makes
         # thousands of them: the others at each end are looked at for few.
-        if len(case.starts) >= CONVICTING_STARTS:
+        if len(case.starts) >= cases_lib.CONVICTING_STARTS:
             only = [
                 each for each in case.starts if self._is_only_start(case, each)
             ]
-            if len(only) >= CONVICTING_STARTS:
+            if len(only) >= cases_lib.CONVICTING_STARTS:
                 return True
         if len(case.counted) < CONVICTING_ENDS:
             return False
         settled = [
             server
-            for server in self._likely(case)
+            for server in self._likeliest(case)
             if now - case.learnt[server] >= SETTLED
         ]
         return len(settled) >= CONVICTING_ENDS
 
-    def _likely(self, case: _Case) -> list[str]:
+    def _likely(self, case: cases_lib.Case) -> list[str]:
         """Returns the ends of which no other request is the likelier cause."""
         return [
             server
             for server in case.counted
-            if all(
-                other.weight(server) <= case.weight(server)
-                for other in self._others_at(case, server)
-            )
+            if case.weight(server) >= self._heaviest_other(case, server)
+        ]
+
+    def _likeliest(self, case: cases_lib.Case) -> list[str]:
+        """Returns the ends of which it is the likeliest cause, alone.
+
+        Of two requests that were always together, one is innocent: which one,
+        the next end tells.
+        """
+        return [
+            server
+            for server in case.counted
+            if case.weight(server) > self._heaviest_other(case, server)
         ]
 
-    def _is_only_start(self, case: _Case, server: str) -> bool:
+    def _heaviest_other(
+        self, case: cases_lib.Case, server: str
+    ) -> cases_lib.Weight:
+        return max(
+            (each.weight(server) for each in self._others_at(case, server)),
+            default=cases_lib.NO_WEIGHT,
+        )
+
+    def _is_only_start(self, case: cases_lib.Case, server: str) -> bool:
         return not any(
             server in other.starts for other in self._others_at(case, server)
         )
 
-    def _others_at(self, case: _Case, server: str) -> list[_Case]:
+    def _others_at(
+        self, case: cases_lib.Case, server: str
+    ) -> list[cases_lib.Case]:
         return [
             other
             for other in self._cases.values()
@@ -403,13 +321,3 @@
             and server in other.strikes
             and server not in other.void
         ]
-
-
-def _strike_of(run: runs_lib.Run, now: float) -> runs_lib.Stage | None:
-    """Returns what a run says when its server ends; None for nothing."""
-    is_at_begin = run.lasted(now) <= AT_BEGIN
-    if run.stage is runs_lib.Stage.GIVING and not is_at_begin:
-        return None
-    if run.stage is runs_lib.Stage.BEGUN and not is_at_begin:
-        return runs_lib.Stage.WAITING
-    return run.stage
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -11,9 +11,9 @@
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
-from hoistmoor.core.relay.servers import suspects as suspects_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
@@ -99,7 +99,7 @@
         self.router.note_server_end(server, now)
         self.note_suspects()
 
-    def take_suspects(self, told: Iterable[suspects_lib.Suspect]) -> None:
+    def take_suspects(self, told: Iterable[cases_lib.Suspect]) -> None:
         """Takes what another host holds against requests."""
         self.router.take_suspects(told, self.clock())
         self.note_suspects()
--- a/src/hoistmoor/relay/store/convictions.py
+++ b/src/hoistmoor/relay/store/convictions.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay.servers import suspects as suspects_lib
+from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.relay import records
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
 
     def _take(self, record: topics.Record, value: bytes) -> None:
         try:
-            suspect = records.decode(value, suspects_lib.Suspect)
+            suspect = records.decode(value, cases_lib.Suspect)
         except ValueError as error:
             self._state.note_unreadable("conviction", record, error)
             return
@@ -109,7 +109,7 @@
                 self._state.log.write("conviction_waits", detail=error.problem)
                 await asyncio.sleep(RETRY)
 
-    async def _write(self, convicted: dict[str, suspects_lib.Suspect]) -> None:
+    async def _write(self, convicted: dict[str, cases_lib.Suspect]) -> None:
         listed = self._listener.listed
         for fingerprint in convicted.keys() - listed:
             await self._topic.put(
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import suspects
 
@@ -322,7 +323,7 @@
 ) -> None:
     """Has servers end under a request, as another host saw it."""
     strikes = {f"gone{number}": stage for number in range(count)}
-    router.take_suspects([suspects.Suspect(fingerprint, strikes)], NOW - 2.0)
+    router.take_suspects([cases.Suspect(fingerprint, strikes)], NOW - 2.0)
 
 
 def test_a_convicted_request_is_refused_as_not_run(
--- a/tests/core/relay/servers/test_relay_suspects.py
+++ b/tests/core/relay/servers/test_relay_suspects.py
@@ -15,6 +15,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import suspects
 
@@ -99,7 +100,7 @@
 
 
 def test_a_run_that_lasted_is_no_suspect() -> None:
-    lasted = suspects.AT_BEGIN + 0.1
+    lasted = cases.AT_BEGIN + 0.1
     ends = [[run_of("long", Stage.GIVING, lasted)] for _ in range(6)]
     assert_convicted(book_with(*ends), "long", LATER, False)
     # Its answer began long ago, so the end was not at its begin.
@@ -223,3 +224,13 @@
         [each.fingerprint for each in book.news(0, NOW)[0]],
         matchers.Equals(["first"]),
     )
+
+
+def test_of_two_that_were_always_together_the_next_end_tells() -> None:
+    both = [run_of("bad"), run_of("beside")]
+    book = book_with(*[both for _ in range(suspects.CONVICTING_ENDS)])
+    assert_convicted(book, "bad", LATER, False)
+    assert_convicted(book, "beside", LATER, False)
+    book.note_end("next", [run_of("bad")], LATER)
+    assert_convicted(book, "bad", LATER + suspects.SETTLED, True)
+    assert_convicted(book, "beside", LATER + suspects.SETTLED, False)
--- a/tests/relay/peers/test_relay_suspects_swarm.py
+++ b/tests/relay/peers/test_relay_suspects_swarm.py
@@ -18,6 +18,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import suspects
 
@@ -71,7 +72,7 @@
         draw = random.Random(hosts)
         ends = suspects.CONVICTING_ENDS
         if stage is runs.Stage.BEGUN:
-            ends = suspects.CONVICTING_STARTS
+            ends = cases.CONVICTING_STARTS
         # No host sees two ends, and what runs beside is at all of them.
         for number, member in enumerate(draw.sample(swarm.members, ends)):
             end_server(member, f"x{number}", [(BAD, stage)])
@@ -96,7 +97,7 @@
 ) -> None:
     async def scenario() -> None:
         swarm = await calm_swarm(hosts)
-        for number in range(suspects.CONVICTING_STARTS):
+        for number in range(cases.CONVICTING_STARTS):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         await swarm.until(refuses)
@@ -117,7 +118,7 @@
 ) -> None:
     async def scenario() -> None:
         swarm = await calm_swarm(hosts)
-        for number in range(suspects.CONVICTING_STARTS):
+        for number in range(cases.CONVICTING_STARTS):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         await swarm.until(refuses)
@@ -141,7 +142,7 @@
         swarm.store.fault[""] = "reset"
         swarm.store.wake()
         await asyncio.sleep(5.0)
-        for number in range(suspects.CONVICTING_STARTS):
+        for number in range(cases.CONVICTING_STARTS):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         took = await swarm.until(refuses)
