Use the field's words: a request in quarantine, ends of servers

Read as a newcomer: strike, conviction, verdict, case and voucher named what needed explaining. Suspect, end, quarantine and cleared do not. The merge of what another host tells became a step of its own.

--- a/src/hoistmoor/console/commands/story.py
+++ b/src/hoistmoor/console/commands/story.py
@@ -105,14 +105,14 @@
         if str(line.fields.get("server", "\n")) in asked
     }
     fingerprints = {line.fields.get("fingerprint") for line in own} - {None}
-    verdicts = [
+    newly_quarantined = [
         line
         for line in before
-        if line.event == "request_convicted"
+        if line.event == "request_quarantined"
         and line.fields.get("fingerprint") in fingerprints
     ]
     context = sorted(
-        [*newest.values(), *servers.values(), *verdicts],
+        [*newest.values(), *servers.values(), *newly_quarantined],
         key=lambda line: line.at,
     )
     return [
--- a/src/hoistmoor/core/refusals.py
+++ b/src/hoistmoor/core/refusals.py
@@ -46,7 +46,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_CUT = "backend_cut"
     BACKEND_ERROR = "backend_error"
-    ENDS_SERVERS = "ends_servers"
+    CRASHES_SERVERS = "crashes_servers"
     CALLER_LEFT = "caller_left"
     INTERNAL = "internal"
 
@@ -176,7 +176,7 @@
     Reason.BACKEND_ERROR: Rule(
         HTTPStatus.BAD_GATEWAY, _SOON, "Look at the outcome before retrying."
     ),
-    Reason.ENDS_SERVERS: Rule(
+    Reason.CRASHES_SERVERS: Rule(
         HTTPStatus.SERVICE_UNAVAILABLE,
         _FIX,
         "Change the request; servers that ran it have crashed.",
--- a/src/hoistmoor/core/relay/beliefs/reading.py
+++ b/src/hoistmoor/core/relay/beliefs/reading.py
@@ -39,7 +39,7 @@
 # Seconds until a host that begins to read the store reads the slow topics too:
 # most often another host is found before.
 SETTLED = 1.0
-SLOW_TOPICS = frozenset({"phases", "hosts", "convictions"})
+SLOW_TOPICS = frozenset({"phases", "hosts", "quarantine"})
 # What a host reads while it does not know the others: the store may be away,
 # and one topic shows its return.
 ALONE_TOPICS = frozenset({"operator", "hosts"})
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -35,7 +35,7 @@
 # 6,561 meets eight.
 MAX_UNREACHABLE = 8
 # Servers that may end under one request without using up its attempts.
-MAX_SPARED = 3
+MAX_UNCOUNTED = 3
 # A silent server is given up after so many times the route's target, if the
 # request may run again: the caller still gets its answer from another one.
 PATIENCE_FACTOR = 3.0
@@ -77,7 +77,7 @@
         self._runs = 0
         self._declined = 0
         self._unreachable = 0
-        self._spared = 0  # Attempts whose servers ended beside the request.
+        self._uncounted = 0  # Attempts whose servers ended beside the request.
         self._begun = False  # Whether the caller has part of an answer.
         self._escalating = False
         self._settled = False  # Whether a small answer will do by now.
@@ -183,23 +183,25 @@
             self._declined += 1
             return
         self.may_have_run = True
-        if event.server_ended and self._spares_attempt():
-            self._spared += 1
+        if event.server_ended and self._is_uncounted():
+            self._uncounted += 1
             return
         self._runs += 1
 
-    def _spares_attempt(self) -> bool:
+    def _is_uncounted(self) -> bool:
         """Returns whether a server's end uses up none of the attempts.
 
         A request that merely ran there is not to be given up for it.
         """
+        if self._uncounted >= MAX_UNCOUNTED:
+            return False
         suspects = self._router.suspects
-        return self._spared < MAX_SPARED and suspects.is_bystander(
-            self.request.fingerprint
-        )
+        return not suspects.is_likely_cause(self.request.fingerprint)
 
-    def _is_convicted(self, now: float) -> bool:
-        return self._router.suspects.is_convicted(self.request.fingerprint, now)
+    def _is_quarantined(self, now: float) -> bool:
+        return self._router.suspects.is_quarantined(
+            self.request.fingerprint, now
+        )
 
     def _may_try_again(self, state: outcomes.ExchangeState, now: float) -> bool:
         request = self.request
@@ -225,7 +227,7 @@
         them were dead, no server had got 1,093 of 1,335 requests that were
         refused as not run (a log of a played day, 84 hosts).
         """
-        return self._runs + self._spared + self._declined > 0
+        return self._runs + self._uncounted + self._declined > 0
 
     @_on.register
     def _(self, event: messages.DeadlineReached, now: float) -> messages.Effect:
@@ -240,8 +242,8 @@
         self._begun = True
 
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
-        if self._is_convicted(now):
-            return self._refuse_convicted(now)
+        if self._is_quarantined(now):
+            return self._refuse_quarantined(now)
         work_class = self._router.class_of(self.request, self.model)
         server = self._router.pick(
             self.request,
@@ -269,10 +271,10 @@
         self.server = server
         return send
 
-    def _refuse_convicted(self, now: float) -> messages.Effect:
+    def _refuse_quarantined(self, now: float) -> messages.Effect:
         self._detail = "servers that ran this request have crashed"
         left = self._router.suspects.left_for(self.request.fingerprint, now)
-        return self._give_up(refusals.Reason.ENDS_SERVERS, math.ceil(left))
+        return self._give_up(refusals.Reason.CRASHES_SERVERS, math.ceil(left))
 
     def _patience(self, now: float) -> float | None:
         route = self.request.route
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -15,9 +15,9 @@
 from hoistmoor.core.relay.course import budget
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
-from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects as suspects_lib
 from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.relay.versions import rollouts
@@ -105,7 +105,7 @@
         self.fleet.warmups.take_excess(bounds.warmup_excess)
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
-        self.suspects = suspects_lib.SuspectBook()
+        self.suspects = suspects_lib.SuspectTable()
         self.zone = zone
         self._bounds = bounds
         self._draws = draws
@@ -326,7 +326,7 @@
         )
 
     def take_suspects(
-        self, told: Iterable[cases_lib.Suspect], now: float
+        self, told: Iterable[suspect_state.Suspect], now: float
     ) -> None:
         """Takes what another host holds against requests.
 
--- a/src/hoistmoor/core/relay/servers/suspects.py
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -5,29 +5,31 @@
 servers of its service again and again, and each end costs all that ran beside
 it.
 
-When a server ends, each request that it had is a suspect, with a strike that
-says how far its run had come. Most of them merely ran beside the one that is
-to blame, or the server ended by itself, so a strike says little by itself:
+When a server ends, each request that it had is a suspect, and the end is noted
+against it with how far its run had come. Most of them merely ran beside the one
+that is the cause, or the server ended by itself, so one end says little:
 
 - A run that had begun and given nothing, the only such one there, is what a
-  crash at the begin of a run looks like. Two of them, at two servers, convict.
-  Of 375 requests that were cut beside such a one, 80 of them three times or
-  more, none was ever cut so (log of a played day, 7 hosts and 6 servers).
-- Other strikes count where the request is the likeliest cause of that end, once
-  the other hosts have had time to tell of theirs. Four of them convict.
-- A whole answer clears: what was held against the request until then is void,
-  and nothing is held against it for a minute. Many callers may ask for the same
-  in the same words, and some server or other ends under them by itself.
-
-A convicted request is refused. What is known of a suspect only grows, so hosts
-merge what they are told in any order, and need not agree on who tells first.
+  crash at the begin of a run looks like. Two of these, at two servers, and the
+  request is quarantined. Of 375 requests that were cut beside such a one, 80 of
+  them three times or more, none was ever cut so (log of a played day, 7 hosts
+  and 6 servers).
+- Any other end counts where the request is its likeliest cause, once the other
+  hosts have had time to tell what else was there. It takes four of them.
+- A whole answer clears the request of all ends until then, and for a minute
+  none is noted against it. Many callers may ask for the same in the same words,
+  and some server or other ends under them by itself.
+
+A request in quarantine is refused. What is known of a suspect only grows, so
+hosts merge what they are told in any order, and need not agree on who tells
+first.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from hoistmoor.core.relay.servers import cases as cases_lib
+from hoistmoor.core.relay.servers import suspect_state
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,36 +38,36 @@
 
 # Servers that it may have ended in any other way. Four, as a request that runs
 # beside it may be cut at three of them in a row by chance.
-CONVICTING_ENDS = 4
-# Seconds after which the other hosts' strikes for the same end are known, two
-# hosts between.
+ENDS_TO_QUARANTINE = 4
+# Seconds after which it is known what other hosts had at a server that ended,
+# with two hosts between.
 SETTLED = 1.0
 # Seconds after a whole answer for which nothing is held against a request. A
 # request that all callers send alike would else be refused once two servers
 # ended by themselves, and then nobody could clear it.
-VOUCHED = 60.0
-MOST_VOUCHED = 4096  # Answered requests that are remembered: 0.6 MB.
-MOST_SUSPECTS = 256  # Requests with strikes, at most; a server has 64 at once.
-MOST_CONVICTED = 256  # Requests that are refused, at most.
+ANSWERED_LIFE = 60.0
+MOST_ANSWERED = 4096  # Answered requests that are remembered: 0.6 MB.
+MOST_SUSPECTS = 256  # A server has 64 requests at once.
+MOST_QUARANTINED = 256  # Requests in quarantine, at most.
 DROPPED_AT_ONCE = 8  # An eighth of them, where there are too many.
 MOST_TOLD = 32  # Suspects in one message: 4 KB.
-# Seconds for which a convicted request is refused; the servers' software may
-# be mended by then.
-CONVICTION = 3600.0
+# Seconds after its newest end for which a request is refused; the servers'
+# software may be mended by then.
+QUARANTINE = 3600.0
 
 
-class SuspectBook:
+class SuspectTable:
     """What is held against requests, by this host and those that told it.
 
     Attributes:
         serial: Number of the newest change.
-        verdicts: Fingerprints that were convicted and are to be logged.
+        newly_quarantined: Fingerprints that are to be logged.
     """
 
     def __init__(self) -> None:
         self.serial = 0
-        self.verdicts: list[str] = []
-        self._cases: dict[str, cases_lib.Case] = {}
+        self.newly_quarantined: list[str] = []
+        self._states: dict[str, suspect_state.SuspectState] = {}
         # Steady times of the newest whole answers here, oldest first.
         self._answered: dict[str, float] = {}
 
@@ -79,119 +81,134 @@
             runs: Those of this host.
             now: Steady time.
         """
-        touched = []
+        changed = []
         for run in runs:
-            stage = cases_lib.strike_of(run, now)
+            stage = suspect_state.stage_of(run, now)
             if not run.fingerprint or stage is None:
                 continue
-            if self._is_vouched(run.fingerprint, now):
+            if self._was_answered(run.fingerprint, now):
                 continue
-            case = self._case(run.fingerprint, now)
-            if case.add(server, stage, now):
-                case.newest = now
-                touched.append(case)
-        self._judge(touched, now)
+            state = self._state_of(run.fingerprint, now)
+            if state.add(server, stage, now):
+                state.newest = now
+                changed.append(state)
+        self._evaluate(changed, now)
 
     def note_answered(self, fingerprint: str, now: float) -> None:
         """Notes that a server answered a request whole, and lived."""
         self._answered.pop(fingerprint, None)
         self._answered[fingerprint] = now
-        if len(self._answered) > MOST_VOUCHED:
+        if len(self._answered) > MOST_ANSWERED:
             del self._answered[next(iter(self._answered))]
-        case = self._cases.get(fingerprint)
-        if case is None or not case.counted:
+        state = self._states.get(fingerprint)
+        if state is None or not state.counted:
             return
-        case.clear(set(case.strikes))
-        self._touch(case)
+        state.clear(set(state.ends))
+        self._mark_changed(state)
 
-    def take(self, told: Iterable[cases_lib.Suspect], now: float) -> list[str]:
+    def take(
+        self, told: Iterable[suspect_state.Suspect], now: float
+    ) -> list[str]:
         """Takes what another host holds against requests.
 
         Returns:
             Identities of servers whose ends were not known here.
         """
-        touched = []
+        changed = []
         servers: dict[str, None] = {}
         for suspect in told:
-            if suspect.age > CONVICTION:
+            if suspect.age > QUARANTINE:
                 continue
-            case = self._case(suspect.fingerprint, now - suspect.age)
-            new = [
-                server
-                for server, stage in suspect.strikes.items()
-                if case.add(server, stage, now)
-            ]
+            state = self._state_of(suspect.fingerprint, now - suspect.age)
+            known = set(state.ends)
+            if self._merge(state, suspect, now):
+                changed.append(state)
+            new = [each for each in state.ends if each not in known]
             servers.update(dict.fromkeys(new))
-            void = case.strikes.keys() & set(suspect.void) - case.void
-            if self._is_vouched(suspect.fingerprint, now):
-                void = case.strikes.keys() - case.void
-            case.clear(void)
-            is_refused = not case.is_refused and case.confirms(suspect)
-            if is_refused:
-                self._convict(case)
-            if not (new or void or is_refused):
-                continue
-            case.newest = max(case.newest, now - suspect.age)
-            touched.append(case)
-        self._judge(touched, now)
+        self._evaluate(changed, now)
         return list(servers)
 
-    def is_convicted(self, fingerprint: str, now: float) -> bool:
+    def _merge(
+        self,
+        state: suspect_state.SuspectState,
+        suspect: suspect_state.Suspect,
+        now: float,
+    ) -> bool:
+        """Returns whether what another host tells is new here."""
+        new = [
+            server
+            for server, stage in suspect.ends.items()
+            if state.add(server, stage, now)
+        ]
+        cleared = state.ends.keys() & set(suspect.cleared) - state.cleared
+        if self._was_answered(suspect.fingerprint, now):
+            cleared = state.ends.keys() - state.cleared
+        state.clear(cleared)
+        is_quarantined = not state.is_quarantined and state.confirms(suspect)
+        if is_quarantined:
+            self._quarantine(state)
+        if not (new or cleared or is_quarantined):
+            return False
+        state.newest = max(state.newest, now - suspect.age)
+        return True
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Returns whether a request is to be refused."""
-        case = self._cases.get(fingerprint)
-        if case is None:
+        state = self._states.get(fingerprint)
+        if state is None:
             return False
-        if now - case.newest > CONVICTION:
-            del self._cases[fingerprint]
+        if now - state.newest > QUARANTINE:
+            del self._states[fingerprint]
             return False
-        if not case.is_refused and self._is_guilty(case, now):
-            self._convict(case)
-            self._touch(case)
-        return case.is_refused
+        if not state.is_quarantined and self._is_cause(state, now):
+            self._quarantine(state)
+            self._mark_changed(state)
+        return state.is_quarantined
 
     def left_for(self, fingerprint: str, now: float) -> float:
-        """Returns the seconds until a convicted request may be tried again."""
-        case = self._cases.get(fingerprint)
-        return 0.0 if case is None else case.newest + CONVICTION - now
+        """Returns the seconds until a refused request may be tried again."""
+        state = self._states.get(fingerprint)
+        return 0.0 if state is None else state.newest + QUARANTINE - now
 
-    def is_bystander(self, fingerprint: str) -> bool:
-        """Returns whether a request seems not to blame for its servers' ends.
+    def is_likely_cause(self, fingerprint: str) -> bool:
+        """Returns whether a request seems to blame for its servers' ends.
 
         Whoever merely ran there is not to lose an attempt by it.
         """
-        case = self._cases.get(fingerprint)
-        if case is None or len(case.counted) < cases_lib.CONVICTING_STARTS:
-            return True
-        return len(self._likely(case)) < cases_lib.CONVICTING_STARTS
+        state = self._states.get(fingerprint)
+        least = suspect_state.STARTS_TO_QUARANTINE
+        if state is None or len(state.counted) < least:
+            return False
+        return len(self._likely(state)) >= least
 
-    def convicted(self, now: float) -> dict[str, cases_lib.Suspect]:
+    def quarantined(self, now: float) -> dict[str, suspect_state.Suspect]:
         """Returns the requests that are refused."""
         return {
-            fingerprint: self._cases[fingerprint].told(now)
-            for fingerprint in tuple(self._cases)
-            if self.is_convicted(fingerprint, now)
+            fingerprint: self._states[fingerprint].told(now)
+            for fingerprint in tuple(self._states)
+            if self.is_quarantined(fingerprint, now)
         }
 
     def reasons(self, fingerprint: str) -> dict[str, object]:
-        """Returns what convicted a request, for the log."""
-        case = self._cases.get(fingerprint)
-        if case is None:
+        """Returns what quarantined a request, for the log."""
+        state = self._states.get(fingerprint)
+        if state is None:
             return {"fingerprint": fingerprint}
         return {
             "fingerprint": fingerprint,
             "ended": [
-                f"{server} {case.strikes[server]}" for server in case.counted
+                f"{server} {state.ends[server]}" for server in state.counted
             ],
-            "likely": self._likely(case),
+            "likely": self._likely(state),
         }
 
     def forget(self, fingerprint: str) -> None:
         """Forgets what is held against a request."""
-        self._cases.pop(fingerprint, None)
+        self._states.pop(fingerprint, None)
 
     def news(
         self, after: int, now: float
-    ) -> tuple[tuple[cases_lib.Suspect, ...], int]:
+    ) -> tuple[tuple[suspect_state.Suspect, ...], int]:
         """Returns what has changed, oldest first, and up to which serial.
 
         Args:
@@ -201,7 +218,7 @@
         if after >= self.serial:
             return (), self.serial
         new = sorted(
-            (each for each in self._cases.values() if each.serial > after),
+            (each for each in self._states.values() if each.serial > after),
             key=lambda each: each.serial,
         )
         is_all = len(new) <= MOST_TOLD
@@ -209,15 +226,17 @@
         until = self.serial if is_all else new[-1].serial
         return tuple(each.told(now) for each in new), until
 
-    def _is_vouched(self, fingerprint: str, now: float) -> bool:
+    def _was_answered(self, fingerprint: str, now: float) -> bool:
         """Returns whether the request was answered here a short time ago."""
         answered_at = self._answered.get(fingerprint)
-        return answered_at is not None and now - answered_at <= VOUCHED
+        return answered_at is not None and now - answered_at <= ANSWERED_LIFE
 
-    def _case(self, fingerprint: str, newest: float) -> cases_lib.Case:
-        known = self._cases.get(fingerprint)
+    def _state_of(
+        self, fingerprint: str, newest: float
+    ) -> suspect_state.SuspectState:
+        known = self._states.get(fingerprint)
         if known is None:
-            known = self._cases[fingerprint] = cases_lib.Case(
+            known = self._states[fingerprint] = suspect_state.SuspectState(
                 fingerprint, newest
             )
             self._make_room()
@@ -228,65 +247,69 @@
 
         Some at once: a mass of servers that end brings thousands of suspects.
         """
-        for is_refused, most in (
+        for is_quarantined, most in (
             (False, MOST_SUSPECTS),
-            (True, MOST_CONVICTED),
+            (True, MOST_QUARANTINED),
         ):
-            cases = [
+            states = [
                 each
-                for each in self._cases.values()
-                if each.is_refused is is_refused
+                for each in self._states.values()
+                if each.is_quarantined is is_quarantined
             ]
-            if len(cases) <= most:
+            if len(states) <= most:
                 continue
-            # The newest has no strike yet, and is to stay.
+            # The newest has no end yet, and is to stay.
             old = sorted(
-                cases[:-1], key=lambda each: (len(each.counted), each.newest)
+                states[:-1], key=lambda each: (len(each.counted), each.newest)
             )
-            for case in old[: most // DROPPED_AT_ONCE]:
-                del self._cases[case.fingerprint]
+            for state in old[: most // DROPPED_AT_ONCE]:
+                del self._states[state.fingerprint]
 
-    def _touch(self, case: cases_lib.Case) -> None:
+    def _mark_changed(self, state: suspect_state.SuspectState) -> None:
         self.serial += 1
-        case.serial = self.serial
+        state.serial = self.serial
 
-    def _judge(self, cases: list[cases_lib.Case], now: float) -> None:
-        for case in cases:
-            self._touch(case)
-        for case in cases:
-            self.is_convicted(case.fingerprint, now)
+    def _evaluate(
+        self, states: list[suspect_state.SuspectState], now: float
+    ) -> None:
+        for state in states:
+            self._mark_changed(state)
+        for state in states:
+            self.is_quarantined(state.fingerprint, now)
 
-    def _convict(self, case: cases_lib.Case) -> None:
-        case.is_refused = True
-        self.verdicts.append(case.fingerprint)
+    def _quarantine(self, state: suspect_state.SuspectState) -> None:
+        state.is_quarantined = True
+        self.newly_quarantined.append(state.fingerprint)
 
-    def _is_guilty(self, case: cases_lib.Case, now: float) -> bool:
-        # Most suspects have one strike, and a mass of servers that end makes
+    def _is_cause(self, state: suspect_state.SuspectState, now: float) -> bool:
+        # Most suspects have one end, and a mass of servers that end makes
         # thousands of them: the others at each end are looked at for few.
-        if len(case.starts) >= cases_lib.CONVICTING_STARTS:
+        if len(state.starts) >= suspect_state.STARTS_TO_QUARANTINE:
             only = [
-                each for each in case.starts if self._is_only_start(case, each)
+                each
+                for each in state.starts
+                if self._is_only_start(state, each)
             ]
-            if len(only) >= cases_lib.CONVICTING_STARTS:
+            if len(only) >= suspect_state.STARTS_TO_QUARANTINE:
                 return True
-        if len(case.counted) < CONVICTING_ENDS:
+        if len(state.counted) < ENDS_TO_QUARANTINE:
             return False
         settled = [
             server
-            for server in self._likeliest(case)
-            if now - case.learnt[server] >= SETTLED
+            for server in self._likeliest(state)
+            if now - state.learnt[server] >= SETTLED
         ]
-        return len(settled) >= CONVICTING_ENDS
+        return len(settled) >= ENDS_TO_QUARANTINE
 
-    def _likely(self, case: cases_lib.Case) -> list[str]:
+    def _likely(self, state: suspect_state.SuspectState) -> list[str]:
         """Returns the ends of which no other request is the likelier cause."""
         return [
             server
-            for server in case.counted
-            if case.weight(server) >= self._heaviest_other(case, server)
+            for server in state.counted
+            if state.weight(server) >= self._heaviest_other(state, server)
         ]
 
-    def _likeliest(self, case: cases_lib.Case) -> list[str]:
+    def _likeliest(self, state: suspect_state.SuspectState) -> list[str]:
         """Returns the ends of which it is the likeliest cause, alone.
 
         Of two requests that were always together, one is innocent: which one,
@@ -294,30 +317,32 @@
         """
         return [
             server
-            for server in case.counted
-            if case.weight(server) > self._heaviest_other(case, server)
+            for server in state.counted
+            if state.weight(server) > self._heaviest_other(state, server)
         ]
 
     def _heaviest_other(
-        self, case: cases_lib.Case, server: str
-    ) -> cases_lib.Weight:
+        self, state: suspect_state.SuspectState, server: str
+    ) -> suspect_state.Weight:
         return max(
-            (each.weight(server) for each in self._others_at(case, server)),
-            default=cases_lib.NO_WEIGHT,
+            (each.weight(server) for each in self._others_at(state, server)),
+            default=suspect_state.NO_WEIGHT,
         )
 
-    def _is_only_start(self, case: cases_lib.Case, server: str) -> bool:
+    def _is_only_start(
+        self, state: suspect_state.SuspectState, server: str
+    ) -> bool:
         return not any(
-            server in other.starts for other in self._others_at(case, server)
+            server in other.starts for other in self._others_at(state, server)
         )
 
     def _others_at(
-        self, case: cases_lib.Case, server: str
-    ) -> list[cases_lib.Case]:
+        self, state: suspect_state.SuspectState, server: str
+    ) -> list[suspect_state.SuspectState]:
         return [
             other
-            for other in self._cases.values()
-            if other is not case
-            and server in other.strikes
-            and server not in other.void
+            for other in self._states.values()
+            if other is not state
+            and server in other.ends
+            and server not in other.cleared
         ]
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -174,5 +174,5 @@
         phases=StoreTopic(session, address, "keyed.rollout-phases"),
         evidence=StoreTopic(session, address, "keyed.rollout-evidence"),
         hosts=StoreTopic(session, address, "keyed.relay-hosts"),
-        convictions=StoreTopic(session, address, "keyed.relay-convictions"),
+        quarantine=StoreTopic(session, address, "keyed.relay-quarantine"),
     )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -32,9 +32,9 @@
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
-from hoistmoor.relay.store import convictions
 from hoistmoor.relay.store import followers as followers_lib
 from hoistmoor.relay.store import lease_watch
+from hoistmoor.relay.store import quarantine
 from hoistmoor.relay.store import store_gate
 from hoistmoor.relay.versions import rollout_task
 from hoistmoor.utils import clocks
@@ -138,13 +138,13 @@
         )
         self._sources = mirror.Sources(settings.host, settings.zone)
         self._gate = store_gate.StoreGate()
-        self._convicted = convictions.ConvictionListener(self.state)
+        self._quarantined = quarantine.QuarantineListener(self.state)
         self.followers = followers_lib.make_followers(
             self.state,
             platform,
             self._sources,
             self._gate,
-            self._convicted,
+            self._quarantined,
             # Where other hosts may be asked, it is known soon who reads.
             yields=bool(settings.peer_listen),
         )
@@ -174,10 +174,10 @@
             self.followers["phases"],
             self._gate,
         ).run
-        self.loops["conviction_writes"] = convictions.ConvictionWriter(
+        self.loops["quarantine_writes"] = quarantine.QuarantineWriter(
             self.state,
-            platform.topics.convictions,
-            self._convicted,
+            platform.topics.quarantine,
+            self._quarantined,
             self._gate,
         ).run
         if not settings.peer_listen:
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -9,8 +9,8 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
-from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import records
 from hoistmoor.utils import addresses
@@ -43,7 +43,7 @@
     """
 
     run_name: str = ""
-    suspects: tuple[cases_lib.Suspect, ...] = ()
+    suspects: tuple[suspect_state.Suspect, ...] = ()
     until: int = 0
     heard: int = 0
 
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -11,9 +11,9 @@
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
-from hoistmoor.core.relay.servers import cases as cases_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
@@ -99,19 +99,19 @@
         self.router.note_server_end(server, now)
         self.note_suspects()
 
-    def take_suspects(self, told: Iterable[cases_lib.Suspect]) -> None:
+    def take_suspects(self, told: Iterable[suspect_state.Suspect]) -> None:
         """Takes what another host holds against requests."""
         self.router.take_suspects(told, self.clock())
         self.note_suspects()
 
     def note_suspects(self) -> None:
-        """Writes new convictions, and has others be told at once."""
+        """Writes new quarantine, and has others be told at once."""
         suspects = self.router.suspects
-        if suspects.verdicts:
+        if suspects.newly_quarantined:
             self.has_urgent_news.set()
-        for fingerprint in suspects.verdicts:
-            self.believe("request_convicted", **suspects.reasons(fingerprint))
-        suspects.verdicts.clear()
+        for fingerprint in suspects.newly_quarantined:
+            self.believe("request_quarantined", **suspects.reasons(fingerprint))
+        suspects.newly_quarantined.clear()
 
     def known_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host and of those that ask it.
--- a/src/hoistmoor/relay/store/followers.py
+++ b/src/hoistmoor/relay/store/followers.py
@@ -7,10 +7,10 @@
 import attrs
 
 from hoistmoor.relay.peers import listing
-from hoistmoor.relay.store import convictions
 from hoistmoor.relay.store import follower
 from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import ports
+from hoistmoor.relay.store import quarantine
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import mirror
@@ -56,7 +56,7 @@
     platform: ports.Platform,
     sources: mirror.Sources,
     gate: store_gate.StoreGate,
-    convicted: convictions.ConvictionListener,
+    quarantined: quarantine.QuarantineListener,
     *,
     yields: bool,
 ) -> dict[str, follower.TopicFollower]:
@@ -67,7 +67,7 @@
         platform: Where it learns it.
         sources: The other hosts.
         gate: Holds reads back while the store is away.
-        convicted: Takes the requests that are refused.
+        quarantined: Takes the requests that are refused.
         yields: Whether other hosts may read for this one.
     """
     topics, codec = platform.topics, platform.codec
@@ -98,9 +98,9 @@
             pause=HOSTS_PAUSE,
             is_held=not yields,
         ),
-        "convictions": _Reading(
-            topics.convictions,
-            convicted,
+        "quarantine": _Reading(
+            topics.quarantine,
+            quarantined,
             wait=SLOW_WAIT,
             pause=HOSTS_PAUSE,
         ),
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -57,7 +57,7 @@
         phases: Phases of roll-outs; the relay's own.
         evidence: Counts of answers in roll-outs; the relay's own.
         hosts: Entries of the relays themselves.
-        convictions: Requests that are refused as servers end when they run
+        quarantine: Requests that are refused as servers end when they run
             them, by fingerprint; the relay's own.
     """
 
@@ -67,7 +67,7 @@
     phases: KeyedTopic
     evidence: KeyedTopic
     hosts: KeyedTopic
-    convictions: KeyedTopic
+    quarantine: KeyedTopic
 
 
 class Codec(Protocol):
--- a/src/hoistmoor/relay/store/convictions.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -1,6 +1,6 @@
-"""Keeps convicted requests in the store, for hosts that start anew.
+"""Keeps quarantined requests in the store, for hosts that start anew.
 
-Hosts tell one another whom they convict. What all of them must not forget at
+Hosts tell one another whom they quarantine. What all of them must not forget at
 once is written by the host that reads the store for the others. A host that
 starts copies it with the other topics.
 """
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay.servers import cases as cases_lib
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.relay import records
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 _DROPPED = b""
 
 
-class ConvictionListener:
+class QuarantineListener:
     """Takes the requests that are listed in the store.
 
     Attributes:
@@ -54,9 +54,9 @@
 
     def _take(self, record: topics.Record, value: bytes) -> None:
         try:
-            suspect = records.decode(value, cases_lib.Suspect)
+            suspect = records.decode(value, suspect_state.Suspect)
         except ValueError as error:
-            self._state.note_unreadable("conviction", record, error)
+            self._state.note_unreadable("quarantine", record, error)
             return
         self.listed.add(record.key)
         self._state.take_suspects([suspect])
@@ -64,24 +64,24 @@
     def _drop(self, fingerprint: str) -> None:
         self.listed.discard(fingerprint)
         self._state.router.suspects.forget(fingerprint)
-        self._state.believe("conviction_over", fingerprint=fingerprint)
+        self._state.believe("quarantine_over", fingerprint=fingerprint)
 
 
-class ConvictionWriter:
-    """Lists convicted requests in the store, and drops those that are over."""
+class QuarantineWriter:
+    """Lists requests in quarantine in the store; drops those that are over."""
 
     def __init__(
         self,
         state: state_lib.RelayState,
         topic: ports.KeyedTopic,
-        listener: ConvictionListener,
+        listener: QuarantineListener,
         gate: store_gate.StoreGate,
     ) -> None:
         """Makes the task.
 
         Args:
             state: What the relay knows.
-            topic: Where convictions are listed.
+            topic: Where quarantine are listed.
             listener: Knows what is listed.
             gate: Tells whether the store is there.
         """
@@ -94,28 +94,30 @@
         """Looks until cancelled."""
         while True:
             await asyncio.sleep(PERIOD)
-            convicted = self._state.router.suspects.convicted(
+            quarantined = self._state.router.suspects.quarantined(
                 self._state.clock()
             )
             self._state.note_suspects()
             # One host writes for all, and only once it knows what is listed.
             if self._state.source or not self._gate.is_heard:
                 continue
-            if "convictions" not in self._state.topics_read:
+            if "quarantine" not in self._state.topics_read:
                 continue
             try:
-                await self._write(convicted)
+                await self._write(quarantined)
             except errors.HoistmoorError as error:
-                self._state.log.write("conviction_waits", detail=error.problem)
+                self._state.log.write("quarantine_waits", detail=error.problem)
                 await asyncio.sleep(RETRY)
 
-    async def _write(self, convicted: dict[str, cases_lib.Suspect]) -> None:
+    async def _write(
+        self, quarantined: dict[str, suspect_state.Suspect]
+    ) -> None:
         listed = self._listener.listed
-        for fingerprint in convicted.keys() - listed:
+        for fingerprint in quarantined.keys() - listed:
             await self._topic.put(
-                fingerprint, records.encode(convicted[fingerprint])
+                fingerprint, records.encode(quarantined[fingerprint])
             )
             listed.add(fingerprint)
-        for fingerprint in listed - convicted.keys():
+        for fingerprint in listed - quarantined.keys():
             await self._topic.put(fingerprint, _DROPPED)
             listed.discard(fingerprint)
--- a/tests/console/test_console_story.py
+++ b/tests/console/test_console_story.py
@@ -53,10 +53,10 @@
     assertions.assert_that(capsys.readouterr().err, matchers.Contains("r9"))
 
 
-def test_a_story_tells_why_a_request_was_convicted() -> None:
+def test_a_story_tells_why_a_request_was_quarantined() -> None:
     lines = [
-        story.Line("h1", 1.0, "request_convicted", {"fingerprint": "bad"}),
-        story.Line("h1", 1.5, "request_convicted", {"fingerprint": "other"}),
+        story.Line("h1", 1.0, "request_quarantined", {"fingerprint": "bad"}),
+        story.Line("h1", 1.5, "request_quarantined", {"fingerprint": "other"}),
         story.Line("h1", 2.0, "request", {"id": "r1", "fingerprint": "bad"}),
     ]
     told = story.tell(lines, "r1")
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -15,8 +15,8 @@
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
-from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
 
 if TYPE_CHECKING:
@@ -322,11 +322,11 @@
     router: router_lib.Router, fingerprint: str, count: int, stage: runs.Stage
 ) -> None:
     """Has servers end under a request, as another host saw it."""
-    strikes = {f"gone{number}": stage for number in range(count)}
-    router.take_suspects([cases.Suspect(fingerprint, strikes)], NOW - 2.0)
+    ends = {f"gone{number}": stage for number in range(count)}
+    router.take_suspects([suspect_state.Suspect(fingerprint, ends)], NOW - 2.0)
 
 
-def test_a_convicted_request_is_refused_as_not_run(
+def test_a_request_in_quarantine_is_refused_as_not_run(
     router: router_lib.Router,
 ) -> None:
     end_servers(router, "bad", 2, runs.Stage.BEGUN)
@@ -334,18 +334,18 @@
     machine = machine_lib.RelayMachine(request, router)
     refusal = refusal_of(machine.handle(messages.Started(), NOW))
     assertions.assert_that(
-        refusal.reason, matchers.Equals(refusals.Reason.ENDS_SERVERS)
+        refusal.reason, matchers.Equals(refusals.Reason.CRASHES_SERVERS)
     )
     assertions.assert_that(
         refusal.outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
     )
     # A caller that comes back sooner would only be refused again.
     assertions.assert_that(
-        refusal.retry_after, matchers.Equals(int(suspects.CONVICTION) - 2)
+        refusal.retry_after, matchers.Equals(int(suspects.QUARANTINE) - 2)
     )
 
 
-def test_a_request_that_is_convicted_under_way_is_sent_no_more(
+def test_a_request_that_is_quarantined_under_way_is_sent_no_more(
     router: router_lib.Router,
 ) -> None:
     request = relay_parts.request(relay_parts.CHAT, fingerprint="bad")
@@ -356,7 +356,7 @@
     end_servers(router, "bad", 2, runs.Stage.BEGUN)
     refusal = refusal_of(machine.handle(messages.AttemptEnded(State.SENT), NOW))
     assertions.assert_that(
-        refusal.reason, matchers.Equals(refusals.Reason.ENDS_SERVERS)
+        refusal.reason, matchers.Equals(refusals.Reason.CRASHES_SERVERS)
     )
     assertions.assert_that(
         refusal.outcome, matchers.Equals(outcomes.Outcome.UNKNOWN)
@@ -365,7 +365,7 @@
 
 @pytest.mark.parametrize(
     ("ends_before", "sends"),
-    [(0, 2 + machine_lib.MAX_SPARED), (2, 2)],
+    [(0, 2 + machine_lib.MAX_UNCOUNTED), (2, 2)],
 )
 def test_an_end_uses_up_no_attempt_of_what_merely_ran_there(
     router: router_lib.Router, ends_before: int, sends: int
--- a/tests/core/relay/servers/test_relay_suspects.py
+++ b/tests/core/relay/servers/test_relay_suspects.py
@@ -1,4 +1,4 @@
-"""Which requests are convicted of ending servers, and which are not.
+"""Which requests are quarantined of ending servers, and which are not.
 
 One request ended each of six servers that began to run it, four times in a
 minute; 214 other requests were cut with it, 80 of them three times or more.
@@ -15,8 +15,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
 
 NOW = 100.0
@@ -39,118 +39,118 @@
     return run_of(fingerprint, Stage.GIVING)
 
 
-def assert_convicted(
-    book: suspects.SuspectBook, fingerprint: str, now: float, expected: bool
+def assert_quarantined(
+    book: suspects.SuspectTable, fingerprint: str, now: float, expected: bool
 ) -> None:
     assertions.assert_that(
-        book.is_convicted(fingerprint, now), matchers.Is(expected)
+        book.is_quarantined(fingerprint, now), matchers.Is(expected)
     )
 
 
-def book_with(*ends: list[runs.Run]) -> suspects.SuspectBook:
+def book_with(*ends: list[runs.Run]) -> suspects.SuspectTable:
     """Returns a book that has seen one server end after the other."""
-    book = suspects.SuspectBook()
+    book = suspects.SuspectTable()
     for number, present in enumerate(ends):
         book.note_end(f"s{number}", present, NOW)
     return book
 
 
-def test_two_ends_as_a_run_begins_convict_at_once() -> None:
+def test_two_ends_as_a_run_begins_are_enough_at_once() -> None:
     book = book_with([begun()])
-    assert_convicted(book, "bad", LATER, False)
+    assert_quarantined(book, "bad", LATER, False)
     book.note_end("s1", [begun()], NOW)
-    assert_convicted(book, "bad", NOW, True)
-    assertions.assert_that(book.verdicts, matchers.Equals(["bad"]))
+    assert_quarantined(book, "bad", NOW, True)
+    assertions.assert_that(book.newly_quarantined, matchers.Equals(["bad"]))
 
 
 def test_one_server_that_ends_counts_once() -> None:
     book = book_with([begun()])
     book.note_end("s0", [begun()], NOW)
-    assert_convicted(book, "bad", LATER, False)
+    assert_quarantined(book, "bad", LATER, False)
 
 
 def test_a_start_counts_only_where_no_other_run_began() -> None:
     both = [begun(), begun("other")]
     book = book_with(both, both)
-    assert_convicted(book, "bad", NOW, False)
-    assert_convicted(book, "other", NOW, False)
+    assert_quarantined(book, "bad", NOW, False)
+    assert_quarantined(book, "other", NOW, False)
 
 
-def test_four_other_ends_convict_once_they_are_settled() -> None:
-    ends = [[run_of("bad")] for _ in range(suspects.CONVICTING_ENDS)]
-    assert_convicted(book_with(*ends), "bad", NOW, False)
-    assert_convicted(book_with(*ends), "bad", LATER, True)
-    assert_convicted(book_with(*ends[1:]), "bad", LATER, False)
+def test_four_other_ends_are_enough_once_they_are_settled() -> None:
+    ends = [[run_of("bad")] for _ in range(suspects.ENDS_TO_QUARANTINE)]
+    assert_quarantined(book_with(*ends), "bad", NOW, False)
+    assert_quarantined(book_with(*ends), "bad", LATER, True)
+    assert_quarantined(book_with(*ends[1:]), "bad", LATER, False)
 
 
 @pytest.mark.parametrize("stage", [Stage.WAITING, Stage.GIVING])
-def test_what_runs_beside_is_not_convicted(stage: Stage) -> None:
+def test_what_runs_beside_is_not_quarantined(stage: Stage) -> None:
     ends = [[begun(), run_of("beside", stage)] for _ in range(6)]
     book = book_with(*ends)
-    assert_convicted(book, "bad", LATER, True)
-    assert_convicted(book, "beside", LATER, False)
-    assertions.assert_that(book.is_bystander("beside"), matchers.Is(True))
+    assert_quarantined(book, "bad", LATER, True)
+    assert_quarantined(book, "beside", LATER, False)
+    assertions.assert_that(book.is_likely_cause("beside"), matchers.Is(False))
 
 
-def test_what_runs_beside_is_not_convicted_for_want_of_starts() -> None:
+def test_what_runs_beside_is_not_quarantined_for_want_of_starts() -> None:
     ends = [[run_of("bad"), run_of("beside")] for _ in range(4)]
     book = book_with([run_of("bad")], *ends)
-    assert_convicted(book, "bad", LATER, True)
-    assert_convicted(book, "beside", LATER, False)
+    assert_quarantined(book, "bad", LATER, True)
+    assert_quarantined(book, "beside", LATER, False)
 
 
 def test_a_run_that_lasted_is_no_suspect() -> None:
-    lasted = cases.AT_BEGIN + 0.1
+    lasted = suspect_state.AT_BEGIN + 0.1
     ends = [[run_of("long", Stage.GIVING, lasted)] for _ in range(6)]
-    assert_convicted(book_with(*ends), "long", LATER, False)
+    assert_quarantined(book_with(*ends), "long", LATER, False)
     # Its answer began long ago, so the end was not at its begin.
     slow = [[run_of("slow", Stage.BEGUN, lasted)] for _ in range(2)]
-    assert_convicted(book_with(*slow), "slow", LATER, False)
+    assert_quarantined(book_with(*slow), "slow", LATER, False)
 
 
 def test_an_answer_clears_but_not_for_ever() -> None:
     book = book_with([begun()], [begun()])
     book.note_answered("bad", NOW)
-    assert_convicted(book, "bad", LATER, False)
-    later = NOW + suspects.VOUCHED + 1.0
+    assert_quarantined(book, "bad", LATER, False)
+    later = NOW + suspects.ANSWERED_LIFE + 1.0
     run = runs.Run("bad", Stage.BEGUN, later)
     book.note_end("s2", [run], later)
-    assert_convicted(book, "bad", later, False)
+    assert_quarantined(book, "bad", later, False)
     book.note_end("s3", [run], later)
-    assert_convicted(book, "bad", later, True)
+    assert_quarantined(book, "bad", later, True)
 
 
 def test_an_answer_elsewhere_clears() -> None:
-    book, other = book_with([begun()], [begun()]), suspects.SuspectBook()
+    book, other = book_with([begun()], [begun()]), suspects.SuspectTable()
     other.take(book.news(0, NOW)[0], NOW)
     other.note_answered("bad", NOW)
     book.take(other.news(0, NOW)[0], NOW)
-    assert_convicted(book, "bad", LATER, False)
+    assert_quarantined(book, "bad", LATER, False)
 
 
-def test_a_conviction_ends() -> None:
+def test_a_quarantine_ends() -> None:
     book = book_with([begun()], [begun()])
     left = book.left_for("bad", NOW + 1.0)
-    assertions.assert_that(left, matchers.Equals(suspects.CONVICTION - 1.0))
-    assert_convicted(book, "bad", NOW + suspects.CONVICTION + 1.0, False)
+    assertions.assert_that(left, matchers.Equals(suspects.QUARANTINE - 1.0))
+    assert_quarantined(book, "bad", NOW + suspects.QUARANTINE + 1.0, False)
     assertions.assert_that(
-        book.convicted(NOW + suspects.CONVICTION + 1.0), matchers.Equals({})
+        book.quarantined(NOW + suspects.QUARANTINE + 1.0), matchers.Equals({})
     )
 
 
 def test_what_is_old_is_not_taken() -> None:
     book = book_with([begun()], [begun()])
-    (told,), _ = book.news(0, NOW + suspects.CONVICTION + 1.0)
-    other = suspects.SuspectBook()
+    (told,), _ = book.news(0, NOW + suspects.QUARANTINE + 1.0)
+    other = suspects.SuspectTable()
     other.take([told], NOW)
-    assert_convicted(other, "bad", NOW, False)
+    assert_quarantined(other, "bad", NOW, False)
 
 
 @pytest.mark.parametrize("hosts", [1, 7, 84, 360])
 def test_hosts_agree_in_whatever_order_they_are_told(hosts: int) -> None:
     draw = random.Random(hosts)
-    seen = [suspects.SuspectBook() for _ in range(hosts)]
-    for number in range(suspects.CONVICTING_ENDS):
+    seen = [suspects.SuspectTable() for _ in range(hosts)]
+    for number in range(suspects.ENDS_TO_QUARANTINE):
         for run in [run_of("bad"), giving(f"beside{number}"), giving("beside")]:
             present = [run] if run.fingerprint != "beside" or number else []
             draw.choice(seen).note_end(f"s{number}", present, NOW)
@@ -159,13 +159,13 @@
     )
     for _ in range(10):
         draw.shuffle(told)
-        book = suspects.SuspectBook()
+        book = suspects.SuspectTable()
         book.take(told, NOW)
-        assert_convicted(book, "bad", LATER, True)
-        assert_convicted(book, "beside", LATER, False)
+        assert_quarantined(book, "bad", LATER, True)
+        assert_quarantined(book, "beside", LATER, False)
 
 
-def test_memory_is_bounded_and_the_convicted_stay() -> None:
+def test_memory_is_bounded_and_those_in_quarantine_stay() -> None:
     book = book_with([begun()], [begun()])
     for number in range(20):
         present = [run_of(f"r{number}.{each}") for each in range(50)]
@@ -178,7 +178,7 @@
         )
         count += len(news)
     assertions.assert_that(count, matchers.LessThan(suspects.MOST_SUSPECTS + 2))
-    assert_convicted(book, "bad", LATER, True)
+    assert_quarantined(book, "bad", LATER, True)
 
 
 def test_only_what_is_new_is_told() -> None:
@@ -200,24 +200,24 @@
 
 def test_what_all_callers_ask_alike_is_not_refused() -> None:
     """Servers end by themselves under a request that is answered all day."""
-    book, other = suspects.SuspectBook(), suspects.SuspectBook()
+    book, other = suspects.SuspectTable(), suspects.SuspectTable()
     other.note_answered("common", NOW)
     for number in range(6):
         book.note_end(f"s{number}", [begun("common")], NOW)
         other.note_end(f"s{number}", [begun("common")], NOW)
     assertions.assert_that(other.serial, matchers.Equals(0))
-    assert_convicted(book, "common", NOW, True)
+    assert_quarantined(book, "common", NOW, True)
     # Whoever has just seen it answered says so, and is believed.
     other.take(book.news(0, NOW)[0], NOW)
-    assert_convicted(other, "common", NOW, False)
+    assert_quarantined(other, "common", NOW, False)
     book.take(other.news(0, NOW)[0], NOW)
-    assert_convicted(book, "common", NOW, False)
+    assert_quarantined(book, "common", NOW, False)
 
 
 def test_remembered_answers_are_bounded() -> None:
-    book = suspects.SuspectBook()
+    book = suspects.SuspectTable()
     book.note_answered("first", NOW)
-    for number in range(suspects.MOST_VOUCHED):
+    for number in range(suspects.MOST_ANSWERED):
         book.note_answered(f"r{number}", NOW)
     book.note_end("s0", [begun("first"), begun("r9")], NOW)
     assertions.assert_that(
@@ -228,9 +228,9 @@
 
 def test_of_two_that_were_always_together_the_next_end_tells() -> None:
     both = [run_of("bad"), run_of("beside")]
-    book = book_with(*[both for _ in range(suspects.CONVICTING_ENDS)])
-    assert_convicted(book, "bad", LATER, False)
-    assert_convicted(book, "beside", LATER, False)
+    book = book_with(*[both for _ in range(suspects.ENDS_TO_QUARANTINE)])
+    assert_quarantined(book, "bad", LATER, False)
+    assert_quarantined(book, "beside", LATER, False)
     book.note_end("next", [run_of("bad")], LATER)
-    assert_convicted(book, "bad", LATER + suspects.SETTLED, True)
-    assert_convicted(book, "beside", LATER + suspects.SETTLED, False)
+    assert_quarantined(book, "bad", LATER + suspects.SETTLED, True)
+    assert_quarantined(book, "beside", LATER + suspects.SETTLED, False)
--- a/tests/relay/peers/test_relay_suspects_swarm.py
+++ b/tests/relay/peers/test_relay_suspects_swarm.py
@@ -18,8 +18,8 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay.servers import cases
 from hoistmoor.core.relay.servers import runs
+from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
 
 # The sizes of the deployments, and the size that is planned for.
@@ -59,7 +59,7 @@
 def refuses(member: relay_swarm.Member, fingerprint: str = BAD) -> bool:
     assert member.relay is not None
     state = member.relay.state
-    return state.router.suspects.is_convicted(fingerprint, state.clock())
+    return state.router.suspects.is_quarantined(fingerprint, state.clock())
 
 
 @pytest.mark.parametrize("hosts", SIZES)
@@ -70,9 +70,9 @@
     async def scenario() -> None:
         swarm = await calm_swarm(hosts)
         draw = random.Random(hosts)
-        ends = suspects.CONVICTING_ENDS
+        ends = suspects.ENDS_TO_QUARANTINE
         if stage is runs.Stage.BEGUN:
-            ends = cases.CONVICTING_STARTS
+            ends = suspect_state.STARTS_TO_QUARANTINE
         # No host sees two ends, and what runs beside is at all of them.
         for number, member in enumerate(draw.sample(swarm.members, ends)):
             end_server(member, f"x{number}", [(BAD, stage)])
@@ -97,7 +97,7 @@
 ) -> None:
     async def scenario() -> None:
         swarm = await calm_swarm(hosts)
-        for number in range(cases.CONVICTING_STARTS):
+        for number in range(suspect_state.STARTS_TO_QUARANTINE):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         await swarm.until(refuses)
@@ -118,7 +118,7 @@
 ) -> None:
     async def scenario() -> None:
         swarm = await calm_swarm(hosts)
-        for number in range(cases.CONVICTING_STARTS):
+        for number in range(suspect_state.STARTS_TO_QUARANTINE):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         await swarm.until(refuses)
@@ -126,7 +126,7 @@
         writes = sum(
             count
             for (_, call, topic), count in swarm.store.calls.items()
-            if call == "put" and topic == "convictions"
+            if call == "put" and topic == "quarantine"
         )
         assertions.assert_that(writes, matchers.Equals(1))
 
@@ -142,7 +142,7 @@
         swarm.store.fault[""] = "reset"
         swarm.store.wake()
         await asyncio.sleep(5.0)
-        for number in range(cases.CONVICTING_STARTS):
+        for number in range(suspect_state.STARTS_TO_QUARANTINE):
             member = swarm.members[-1 - number]
             end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
         took = await swarm.until(refuses)
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -51,8 +51,8 @@
     "listing",
     "peers",
     "rollouts",
-    "convictions",
-    "conviction_writes",
+    "quarantine",
+    "quarantine_writes",
 )
 
 
@@ -260,7 +260,7 @@
             "phases",
             "evidence",
             "hosts",
-            "convictions",
+            "quarantine",
         )
         port = self._swarm.store.platform.as_port()
         own = {
--- a/tests/relay/store/test_relay_store_gate.py
+++ b/tests/relay/store/test_relay_store_gate.py
@@ -96,7 +96,7 @@
         servers=topics[1],
         phases=topics[2],
         hosts=topics[3],
-        convictions=topics[4],
+        quarantine=topics[4],
     )
     await platform.publish(platform.operator, "config", relay_parts.in_force())
     settings = settings_lib.RelaySettings(
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -126,7 +126,7 @@
     phases: MemoryTopic = attrs.field(factory=MemoryTopic)
     evidence: MemoryTopic = attrs.field(factory=MemoryTopic)
     hosts: MemoryTopic = attrs.field(factory=MemoryTopic)
-    convictions: MemoryTopic = attrs.field(factory=MemoryTopic)
+    quarantine: MemoryTopic = attrs.field(factory=MemoryTopic)
     codec: NamedCodec = attrs.field(factory=NamedCodec)
 
     def as_port(self) -> ports.Platform:
@@ -138,7 +138,7 @@
             self.phases,
             self.evidence,
             self.hosts,
-            self.convictions,
+            self.quarantine,
         )
         return ports.Platform(
             topics,
