Weigh little what was given up before its server ended

Cause, by reading: a small model's answer that is dropped for a larger one has begun and given nothing, like a crash at the begin of a run; two servers that ended within a second of it would have put an innocent request in quarantine. And a request whose caller left was seen by nobody.

Change: a run that was given up here says no more than one that waited; and a host that is told of an end notes its own runs there too. Both tests fail without it.

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -337,7 +337,9 @@
         for identity in self.suspects.take(told, now):
             server = self.fleet.find(identity)
             if server is not None:
-                server.absent_until = now + fleet_lib.ABSENT
+                # This host may have had a run there that it gave up before
+                # the server ended, so that it saw nothing of it.
+                self.note_server_end(server, now)
 
     def note_answer(
         self,
--- a/src/hoistmoor/core/relay/servers/runs.py
+++ b/src/hoistmoor/core/relay/servers/runs.py
@@ -35,6 +35,7 @@
         stage: How far it has come.
         begun_at: Steady time at which an answer began; None before.
         is_over: Whether it is known not to be at the server any more.
+        is_cut: Whether the server ended its connection.
         left_at: Steady time at which it ended here; None before.
     """
 
@@ -42,6 +43,7 @@
     stage: Stage = Stage.WAITING
     begun_at: float | None = None
     is_over: bool = False
+    is_cut: bool = False
     left_at: float | None = None
 
     def note_head(self, now: float) -> None:
@@ -53,6 +55,11 @@
         """Notes that a part of the answer came."""
         self.stage = Stage.GIVING
 
+    @property
+    def was_given_up(self) -> bool:
+        """Whether it ended here before its server ended it."""
+        return self.left_at is not None and not self.is_cut
+
     def lasted(self, now: float) -> float:
         """Returns the seconds from the begin of its answer to its end."""
         if self.begun_at is None:
--- a/src/hoistmoor/core/relay/servers/suspect_state.py
+++ b/src/hoistmoor/core/relay/servers/suspect_state.py
@@ -120,10 +120,16 @@
 
 
 def stage_of(run: runs_lib.Run, now: float) -> runs_lib.Stage | None:
-    """Returns what a run says when its server ends; None for nothing."""
+    """Returns what a run says when its server ends; None for nothing.
+
+    A small model's answer that was dropped for a larger one had begun too. What
+    became of a run that was given up is not known, so it says little.
+    """
     is_at_begin = run.lasted(now) <= AT_BEGIN
     if run.stage is runs_lib.Stage.GIVING and not is_at_begin:
         return None
-    if run.stage is runs_lib.Stage.BEGUN and not is_at_begin:
+    if run.stage is not runs_lib.Stage.BEGUN:
+        return run.stage
+    if run.was_given_up or not is_at_begin:
         return runs_lib.Stage.WAITING
     return run.stage
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -141,6 +141,7 @@
                 state, self._links.dialect.not_run_statuses
             )
             send.run.is_over = state in _OVER
+            send.run.is_cut = attempt.is_cut
         finally:
             attempt.exchange.cancel()
             self._state.router.note_ended(
--- a/tests/core/relay/servers/test_relay_suspects.py
+++ b/tests/core/relay/servers/test_relay_suspects.py
@@ -10,8 +10,10 @@
 
 import itertools
 import random
+from typing import TYPE_CHECKING
 
 import pytest
+import relay_parts
 from testtools import assertions
 from testtools import matchers
 
@@ -19,6 +21,9 @@
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
 
+if TYPE_CHECKING:
+    from hoistmoor.core.relay.placement import router as router_lib
+
 NOW = 100.0
 LATER = NOW + suspects.SETTLED
 Stage = runs.Stage
@@ -234,3 +239,35 @@
     book.note_end("next", [run_of("bad")], LATER)
     assert_quarantined(book, "bad", LATER + suspects.SETTLED, True)
     assert_quarantined(book, "beside", LATER + suspects.SETTLED, False)
+
+
+def test_a_run_that_was_given_up_says_little() -> None:
+    dropped = [
+        runs.Run("dropped", Stage.BEGUN, NOW - 0.1, left_at=NOW)
+        for _ in range(2)
+    ]
+    cut = [
+        runs.Run("cut", Stage.BEGUN, NOW - 0.1, is_cut=True, left_at=NOW)
+        for _ in range(2)
+    ]
+    book = book_with([dropped[0]], [dropped[1]])
+    assert_quarantined(book, "dropped", NOW, False)
+    book = book_with([cut[0]], [cut[1]])
+    assert_quarantined(book, "cut", NOW, True)
+
+
+def test_a_run_that_its_caller_left_is_noted_when_others_tell_of_the_end(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.put(relay_parts.entry("s0"))
+    server = router.fleet.servers["s0"]
+    left = runs.Run("left")
+    server.runs.add(left)
+    server.runs.end(left, NOW)
+    told = suspect_state.Suspect("beside", {"s0": Stage.GIVING})
+    router.take_suspects([told], NOW + 0.5)
+    news, _ = router.suspects.news(0, NOW)
+    names = {each.fingerprint for each in news}
+    assertions.assert_that(names, matchers.Equals({"beside", "left"}))
+    # Nor is the server sent anything more.
+    assertions.assert_that(server.is_gone(NOW + 0.5), matchers.Is(True))
