Start a request's second timer only once the machine was suspended

A timer of our own beside the exchange's would have cut a stream to a slow caller 0.1 s after its deadline, though all of it had come.

--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -36,9 +36,6 @@
 # Where an exchange ends so, the server is not at the request any more.
 _OVER = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
 
-# Seconds after the deadline at which an exchange is ended that has not ended by
-# its own timer.
-AFTER_DEADLINE = 0.1
 CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
 
 
@@ -207,8 +204,8 @@
         Its own timer stands still while the machine is suspended.
         """
         left = max(0.0, attempt.send.deadline - self._now())
-        timer = asyncio.timeout(left + AFTER_DEADLINE)
-        with self._links.deadlines.counted(timer):
+        timer = asyncio.timeout(None)
+        with self._links.deadlines.counted(timer, left):
             try:
                 async with timer:
                     return await self._exchange(attempt)
--- a/src/hoistmoor/relay/suspension.py
+++ b/src/hoistmoor/relay/suspension.py
@@ -21,26 +21,36 @@
 
 
 class Deadlines:
-    """Timers that end as long before as the machine was suspended."""
+    """Timers that are started only once the machine was suspended.
+
+    Until then whatever waits has a timer of its own.
+    """
 
     def __init__(self) -> None:
-        self._timers: set[asyncio.Timeout] = set()
+        # When each is due, on the clock of timers.
+        self._due: dict[asyncio.Timeout, float] = {}
 
     @contextlib.contextmanager
-    def counted(self, timer: asyncio.Timeout) -> Iterator[None]:
-        """Has a timer count suspensions while the block runs."""
-        self._timers.add(timer)
+    def counted(self, timer: asyncio.Timeout, seconds: float) -> Iterator[None]:
+        """Has a timer count suspensions while the block runs.
+
+        Args:
+            timer: Not started.
+            seconds: From now on until it is due.
+        """
+        now = asyncio.get_running_loop().time()
+        self._due[timer] = now + seconds
         try:
             yield
         finally:
-            self._timers.discard(timer)
+            del self._due[timer]
 
     def advance(self, seconds: float) -> None:
-        """Has all timers end sooner."""
-        for timer in self._timers:
-            due = timer.when()
-            if due is not None and not timer.expired():
-                timer.reschedule(due - seconds)
+        """Has all timers end by so many seconds sooner."""
+        for timer in self._due:
+            self._due[timer] -= seconds
+            if not timer.expired():
+                timer.reschedule(self._due[timer])
 
 
 class SuspensionWatch:
