--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -327,19 +327,23 @@
 
     def take_suspects(
         self, told: Iterable[suspect_state.Suspect], now: float
-    ) -> None:
+    ) -> list[server_lib.ServerState]:
         """Takes what another host holds against requests.
 
         Args:
             told: Its suspects.
             now: Steady time.
+
+        Returns:
+            The servers of which it is news here that they have ended.
         """
-        for identity in self.suspects.take(told, now):
-            server = self.fleet.find(identity)
-            if server is not None:
-                # This host may have had a run there that it gave up before
-                # the server ended, so that it saw nothing of it.
-                self.note_server_end(server, now)
+        found = map(self.fleet.find, self.suspects.take(told, now))
+        news = [each for each in found if each and not each.has_ended]
+        for server in news:
+            # This host may have had a run there that it gave up before the
+            # server ended, so that it saw nothing of it.
+            self.note_server_end(server, now)
+        return news
 
     def note_answer(
         self,
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -2,7 +2,8 @@
 
 A host asks those before it in the shared order; if none has anything current,
 it reads the store itself. With its questions it tells what only it knows: its
-work at the backend servers and its counts in roll-outs.
+work at the backend servers, its counts in roll-outs, and which requests may
+have ended servers.
 
 The loads that it answers: all hosts start at once; the store is away for all
 hosts or for some of them, and comes back. Then a call of each host counts.
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -86,26 +86,31 @@
         """Notes that a start of a server is over, as this host found."""
         if server.has_ended:
             return
+        self._log_end(server, told=False)
+        self.router.note_server_end(server, self.clock())
+        self.note_suspects()
+
+    def _log_end(self, server: server_lib.ServerState, *, told: bool) -> None:
         now = self.clock()
         self.believe(
             "server_ended",
             server=server.entry.server_id,
             service=server.entry.service,
+            told=told,
             runs=[
                 f"{run.fingerprint} {run.stage} {run.lasted(now):.3f}s"
                 for run in server.runs.present(now)
             ],
         )
-        self.router.note_server_end(server, now)
-        self.note_suspects()
 
     def take_suspects(self, told: Iterable[suspect_state.Suspect]) -> None:
         """Takes what another host holds against requests."""
-        self.router.take_suspects(told, self.clock())
+        for server in self.router.take_suspects(told, self.clock()):
+            self._log_end(server, told=True)
         self.note_suspects()
 
     def note_suspects(self) -> None:
-        """Writes new quarantine, and has others be told at once."""
+        """Writes whom this host refuses now, and has others be told at once."""
         suspects = self.router.suspects
         if suspects.newly_quarantined:
             self.has_urgent_news.set()
