--- a/tests/relay/peers/test_relay_suspects_swarm.py
+++ b/tests/relay/peers/test_relay_suspects_swarm.py
@@ -30,15 +30,6 @@
 BUSY = 12  # Other requests that a server has when it ends.
 
 
-async def calm_swarm(hosts: int) -> relay_swarm.Swarm:
-    swarm = relay_swarm.swarm_of(hosts)
-    await swarm.begin()
-    await asyncio.sleep(5.0)
-    await swarm.until(lambda each: each.is_current)
-    swarm.store.calls.clear()
-    return swarm
-
-
 def end_server(
     member: relay_swarm.Member,
     server: str,
@@ -56,6 +47,13 @@
     state.note_server_end(found)
 
 
+def end_at_last_hosts(swarm: relay_swarm.Swarm) -> None:
+    """Has a server end at each of as many hosts as it takes."""
+    for number in range(suspect_state.STARTS_TO_QUARANTINE):
+        member = swarm.members[-1 - number]
+        end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
+
+
 def refuses(member: relay_swarm.Member, fingerprint: str = BAD) -> bool:
     assert member.relay is not None
     state = member.relay.state
@@ -68,7 +66,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int, stage: runs.Stage
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         draw = random.Random(hosts)
         ends = suspects.ENDS_TO_QUARANTINE
         if stage is runs.Stage.BEGUN:
@@ -96,10 +94,8 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
-        for number in range(suspect_state.STARTS_TO_QUARANTINE):
-            member = swarm.members[-1 - number]
-            end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
+        swarm = await relay_swarm.calm_swarm(hosts)
+        end_at_last_hosts(swarm)
         await swarm.until(refuses)
         await asyncio.sleep(1.0)
         for member in swarm.members:
@@ -117,10 +113,8 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
-        for number in range(suspect_state.STARTS_TO_QUARANTINE):
-            member = swarm.members[-1 - number]
-            end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
+        swarm = await relay_swarm.calm_swarm(hosts)
+        end_at_last_hosts(swarm)
         await swarm.until(refuses)
         await asyncio.sleep(5.0)
         writes = sum(
@@ -138,13 +132,11 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         swarm.store.fault[""] = "reset"
         swarm.store.wake()
         await asyncio.sleep(5.0)
-        for number in range(suspect_state.STARTS_TO_QUARANTINE):
-            member = swarm.members[-1 - number]
-            end_server(member, f"x{number}", [(BAD, runs.Stage.BEGUN)])
+        end_at_last_hosts(swarm)
         took = await swarm.until(refuses)
         assertions.assert_that(took, matchers.LessThan(HEARD_WITHIN))
 
--- a/tests/relay/peers/test_relay_swarm.py
+++ b/tests/relay/peers/test_relay_swarm.py
@@ -21,16 +21,6 @@
 READS = 6  # Calls a second of the host that reads for all, at the most.
 
 
-async def calm_swarm(hosts: int) -> relay_swarm.Swarm:
-    """Returns hosts that have started, with no calls counted yet."""
-    swarm = relay_swarm.swarm_of(hosts)
-    await swarm.begin()
-    await asyncio.sleep(5.0)
-    await swarm.until(lambda each: each.is_current)
-    swarm.store.calls.clear()
-    return swarm
-
-
 def assert_calls(swarm: relay_swarm.Swarm, most: float) -> None:
     assertions.assert_that(swarm.store.total(), matchers.LessThan(most))
 
@@ -58,7 +48,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         await asyncio.sleep(10.0)
         assertions.assert_that(swarm.readers(), matchers.Equals(1))
         assert_calls(swarm, READS * 10)
@@ -72,7 +62,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int, fault: str
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         swarm.store.fault[""] = fault
         swarm.store.wake()
         for second in range(8):
@@ -97,7 +87,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         newer = relay_parts.in_force(9)
         await swarm.store.publish_large("config", newer, LARGE)
         took = await swarm.until(lambda each: each.revision == 9)
@@ -112,7 +102,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         readers = [each for each in swarm.members if each.reads]
         turned_away = {*swarm.members[::3], *readers}
         for member in turned_away:
@@ -137,7 +127,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         for member in swarm.members:
             member.stop()
         loop = asyncio.get_running_loop()
@@ -163,7 +153,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         for value in ("{}", None, "{}"):
             assert_within(await evacuate(swarm, "north", value), 1.0)
             await asyncio.sleep(0.7)
@@ -176,7 +166,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         await evacuate(swarm, "north", "{}")
         for member in swarm.members:
             member.stop()
@@ -197,7 +187,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         for member in swarm.members[::3]:
             swarm.store.fault[member.name] = "busy"
         swarm.store.wake()
@@ -213,7 +203,7 @@
 ) -> None:
     # While the store is away, hosts ask any others, which may ask them.
     async def scenario() -> None:
-        swarm = await calm_swarm(hosts)
+        swarm = await relay_swarm.calm_swarm(hosts)
         swarm.store.fault[""] = "silent"
         swarm.store.wake()
         most = 0.0
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -446,3 +446,13 @@
     made = Swarm(hosts, zones, strong)
     _SWARMS[asyncio.get_running_loop()] = made
     return made
+
+
+async def calm_swarm(hosts: int) -> Swarm:
+    """Returns hosts that have started, with no calls counted yet."""
+    swarm = swarm_of(hosts)
+    await swarm.begin()
+    await asyncio.sleep(5.0)
+    await swarm.until(lambda each: each.is_current)
+    swarm.store.calls.clear()
+    return swarm
