--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -34,7 +34,8 @@
 # Hosts that start together, within 0.3 s, are to list themselves before one
 # looks who the others are.
 OTHERS_LISTED = 0.35
-# Seconds between two questions while a start waits, or with urgent news.
+# Seconds between two questions while a start waits, and until urgent news is
+# told.
 START_PERIOD = 0.1
 
 
@@ -123,13 +124,14 @@
         if not self._hosts.known.is_set():
             await self._await_hosts(reading.PERIOD)
             return
-        await asyncio.sleep(START_PERIOD)
-        is_starting = waits and not self._has_all()
-        if is_starting:
+        if waits and not self._has_all():
+            await asyncio.sleep(START_PERIOD)
             return
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(reading.PERIOD - START_PERIOD):
+            async with asyncio.timeout(reading.PERIOD):
                 await self._state.has_urgent_news.wait()
+                # Whatever else comes at once is told with it.
+                await asyncio.sleep(START_PERIOD)
         self._state.has_urgent_news.clear()
 
     def _has_all(self) -> bool:
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -21,7 +21,7 @@
     from hoistmoor.relay.store import ports
     from hoistmoor.relay.store import store_gate
 
-PERIOD = 0.25  # Seconds between two looks.
+PERIOD = 1.0  # Seconds between two looks.
 RETRY = 1.0  # Seconds until a write that failed is tried again.
 _DROPPED = b""
 
--- a/src/hoistmoor/relay/suspension.py
+++ b/src/hoistmoor/relay/suspension.py
@@ -16,7 +16,7 @@
 
     from hoistmoor.relay import state as state_lib
 
-PERIOD = 0.25  # Seconds between two looks; what is overdue ends that late.
+PERIOD = 0.5  # Seconds between two looks; what is overdue ends that late.
 LEAST = 0.1  # Seconds; the two clocks are not read at the same moment.
 
 
