Show what servers say of their limits, and what is sent to them nonetheless

The hosts' lines could not tell whether an answer named a limit. Now a line says so with each change (server_limit) and once for each text that is no limit (server_limit_unreadable); attempts in request lines and a counter tell what went to a server that was known to be limited. No decision rests on it yet. What a server tells of itself in an answer is decoded in one place into one value; an answer of another server at the address (421) tells nothing of this one, neither its load.

--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
@@ -90,6 +91,23 @@
     slots: int
 
 
+@attrs.frozen
+class ServerReport:
+    """What a server told of itself with an answer.
+
+    Attributes:
+        load: Its load; None if it told none that can be read.
+        limit: Requests a second that it takes from all hosts together; None
+            if it named none that can be read.
+        unreadable_limit: What it named in place of a limit; empty if it named
+            one or nothing.
+    """
+
+    load: LoadReport | None = None
+    limit: float | None = None
+    unreadable_limit: str = ""
+
+
 @attrs.define(eq=False)
 class ServerState:
     """One backend server and what this host knows of it.
@@ -115,6 +133,8 @@
         sends: Requests that this host sent to it lately.
         runs: This host's requests that it may be at.
         has_ended: Whether this start of it is over, as this host found.
+        limit: What it takes from all hosts together.
+        unreadable_limit: What it last named in place of a limit.
     """
 
     entry: ServerEntry
@@ -133,6 +153,8 @@
     sends: warmup_lib.RecentSends = attrs.field(factory=warmup_lib.RecentSends)
     runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
     has_ended: bool = False
+    limit: limits_lib.LimitBelief = attrs.field(factory=limits_lib.LimitBelief)
+    unreadable_limit: str = ""
 
     def is_gone(self, now: float) -> bool:
         """Returns whether it must get no new work."""
--- a/src/hoistmoor/platform/names.py
+++ b/src/hoistmoor/platform/names.py
@@ -16,6 +16,7 @@
     signature="Hoistmoor-Response-Signature",
     not_run="Hoistmoor-Not-Executed",
     load="Hoistmoor-Instance-Load",
+    limit="Server-Limit",
     model="Hoistmoor-Model",
     tokens="Hoistmoor-Token-Usage",
     prefix="Hoistmoor-Prefix-Hash",
--- a/src/hoistmoor/relay/counters.py
+++ b/src/hoistmoor/relay/counters.py
@@ -14,6 +14,7 @@
         registry: All of them.
         answers: Requests by how they ended.
         attempts: Attempts by how their exchange ended.
+        limited_sends: Attempts sent to servers that had named a limit.
         beliefs: Changes of what this host believes, by kind.
         durations: Seconds from a request to its final answer.
         configuration_age: Seconds since the configuration was known current.
@@ -33,6 +34,11 @@
             ["state"],
             registry=self.registry,
         )
+        self.limited_sends = prometheus_client.Counter(
+            "hoistmoor_relay_limited_sends",
+            "Attempts sent to servers that had named a limit.",
+            registry=self.registry,
+        )
         self.beliefs = prometheus_client.Counter(
             "hoistmoor_relay_belief_changes",
             "Changes of what this host believes.",
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -40,6 +40,8 @@
         is_dropped: Whether it was given up for a larger model's answer.
         is_cut: Whether the connection ended before the answer did.
         detail: What went wrong, for people.
+        limit: Requests a second that its server was known to take from all
+            hosts when it was sent; None for no limit.
     """
 
     send: messages.Send
@@ -54,6 +56,7 @@
     is_dropped: bool = False
     is_cut: bool = False
     detail: str = ""
+    limit: float | None = None
 
     def note_events(self, now: float) -> None:
         """Notes that events of the stream came."""
@@ -131,8 +134,9 @@
     def text(self, state: outcomes.ExchangeState, now: float) -> str:
         """Returns it in one line, for the log."""
         entry = self.send.server.entry
+        limit = "" if self.limit is None else f" limit {self.limit}"
         return (
             f"{entry.server_id} {entry.version} {self.send.model}"
             f" {state.name.lower()} {self.status}"
-            f" {now - self.started:.3f}s{self.waits()} {self.detail}"
+            f" {now - self.started:.3f}s{self.waits()}{limit} {self.detail}"
         )
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import re
+from typing import TYPE_CHECKING
+
 import attrs
 
 from hoistmoor.core.relay.course import requests
 from hoistmoor.core.relay.servers import server as server_lib
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 # Of one connection only (RFC 9110, 7.6.1), or set anew for each.
 HOP_BY_HOP = frozenset(
     {
@@ -38,6 +44,7 @@
         signature: Proof that an answer is a server's own.
         not_run: Says that the server did not run the request.
         load: A server's running and waiting requests, and its slots.
+        limit: Requests a second that a server takes from all hosts together.
         model: Model asked for.
         tokens: Tokens of the prompt, and new tokens at most.
         prefix: Parts of the prompt, as ``name:tokens`` with commas.
@@ -56,6 +63,7 @@
     signature: str = "X-Answer-Signature"
     not_run: str = "X-Not-Run"
     load: str = "X-Load"
+    limit: str = "X-Server-Limit"
     model: str = "X-Model"
     tokens: str = "X-Tokens"
     prefix: str = "X-Prompt-Parts"
@@ -76,6 +84,25 @@
         )
 
 
+# Digits, with a fraction or none; no sign, no exponent, no word for infinity.
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
+LONGEST_SHOWN = 40  # Characters of an unreadable value that are kept.
+
+
+def parse_report(
+    headers: Mapping[str, str], names: HeaderNames
+) -> server_lib.ServerReport:
+    """Returns what a server tells of itself with an answer."""
+    load = parse_load(headers.get(names.load))
+    text = headers.get(names.limit)
+    if text is None:
+        return server_lib.ServerReport(load)
+    if _DECIMAL.fullmatch(text) is None:
+        shown = text[:LONGEST_SHOWN] or "nothing"
+        return server_lib.ServerReport(load, unreadable_limit=shown)
+    return server_lib.ServerReport(load, float(text))
+
+
 def parse_load(text: str | None) -> server_lib.LoadReport | None:
     """Returns a load report, or None if there is none that can be read."""
     numbers = _numbers(text)
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -192,8 +192,15 @@
             self._links.dialect,
         )
         self._sequence.begin_run()
+        limit = send.server.limit.rate
+        if limit is not None:
+            self._state.counters.limited_sends.inc()
         return attempt_lib.Attempt(
-            send, now, exchange, events_before=self._sequence.events
+            send,
+            now,
+            exchange,
+            events_before=self._sequence.events,
+            limit=limit,
         )
 
     async def _exchange_in_time(
@@ -252,9 +259,7 @@
         self, attempt: attempt_lib.Attempt, head: exchange_lib.Head
     ) -> None:
         names = self._links.names
-        report = header_names.parse_load(head.headers.get(names.load))
-        if report is not None:
-            attempt.send.server.take_report(report, self._now())
+        self._take_report(attempt, head)
         if attempt.exchange.state is _State.DECLINED:
             attempt.detail = f"declined with {head.status}"
             attempt.head = head
@@ -273,6 +278,20 @@
             attempt.is_dropped = True
             attempt.detail = f"confidence {confidence}"
 
+    def _take_report(
+        self, attempt: attempt_lib.Attempt, head: exchange_lib.Head
+    ) -> None:
+        """Takes what the server tells of itself, if it is that server."""
+        if head.status in self._links.dialect.not_run_statuses:
+            return
+        names = self._links.names
+        self._state.take_report(
+            attempt.send.server,
+            header_names.parse_report(head.headers, names),
+            attempt.started,
+            is_success=head.status < 300 and names.signature in head.headers,
+        )
+
     def _check_genuine(
         self, attempt: attempt_lib.Attempt, head: exchange_lib.Head
     ) -> None:
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -82,6 +82,63 @@
             detail=str(error),
         )
 
+    def take_report(
+        self,
+        server: server_lib.ServerState,
+        report: server_lib.ServerReport,
+        sent_at: float,
+        *,
+        is_success: bool,
+    ) -> None:
+        """Takes what a server told of itself with an answer to this host.
+
+        Args:
+            server: The server.
+            report: What it told.
+            sent_at: Steady time at which the request was sent.
+            is_success: Whether the server made the answer and it is a success:
+                others may lack what it would name.
+        """
+        now = self.clock()
+        if report.load is not None:
+            server.take_report(report.load, now)
+        if report.unreadable_limit:
+            self._note_unreadable_limit(server, report.unreadable_limit)
+            return
+        before = server.limit.rate
+        if report.limit is not None:
+            is_news = server.limit.note_named(report.limit, now)
+        else:
+            is_news = is_success and server.limit.note_unnamed(sent_at, now)
+        if is_news:
+            self._log_limit(server, before)
+
+    def _log_limit(
+        self, server: server_lib.ServerState, before: float | None
+    ) -> None:
+        self.believe(
+            "server_limit",
+            server=server.entry.server_id,
+            service=server.entry.service,
+            limit=server.limit.rate,
+            before=before,
+            in_flight=server.in_flight,
+        )
+
+    def _note_unreadable_limit(
+        self, server: server_lib.ServerState, text: str
+    ) -> None:
+        """Writes it once: it comes with each answer, and changes nothing."""
+        if server.unreadable_limit == text:
+            return
+        server.unreadable_limit = text
+        self.believe(
+            "server_limit_unreadable",
+            server=server.entry.server_id,
+            service=server.entry.service,
+            detail=text,
+        )
+
     def note_server_end(self, server: server_lib.ServerState) -> None:
         """Notes that a start of a server is over, as this host found."""
         if server.has_ended:
--- /dev/null
+++ b/tests/relay/front/test_relay_reports.py
@@ -0,0 +1,124 @@
+"""What servers tell of themselves with their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.relay.front import header_names
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from conftest import Backend
+    from conftest import Harness
+
+NAMES = header_names.HeaderNames()
+HEAD = b"HTTP/1.1 %b\r\nX-Request-Id: r1\r\n%bContent-Length: 0\r\n\r\n"
+SIGNED = b"X-Answer-Signature: s\r\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "limit"), [("1.7", 1.7), ("30", 30.0), (".3", 0.3), ("0", 0.0)]
+)
+def test_a_limit_is_a_decimal_number(text: str, limit: float) -> None:
+    report = header_names.parse_report({"X-Server-Limit": text}, NAMES)
+    assertions.assert_that(report.limit, matchers.Equals(limit))
+    assertions.assert_that(report.unreadable_limit, matchers.Equals(""))
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "-1", "+2", "nan", "inf", "1e3", "2,5", "1.7, 3", "soon", "9" * 400],
+)
+def test_other_texts_are_no_limit(text: str) -> None:
+    headers = {"X-Server-Limit": text, "X-Load": "3,0,8"}
+    report = header_names.parse_report(headers, NAMES)
+    assertions.assert_that(report.limit, matchers.Is(None))
+    assertions.assert_that(
+        report.unreadable_limit, matchers.Not(matchers.Is(""))
+    )
+    assertions.assert_that(
+        len(report.unreadable_limit),
+        matchers.LessThan(header_names.LONGEST_SHOWN + 1),
+    )
+    assert report.load is not None
+    assertions.assert_that(report.load.running, matchers.Equals(3))
+
+
+class Speaker:
+    """A server that answers with the heads that it is given.
+
+    Attributes:
+        status: Status line, from the code on.
+        headers: Header lines.
+    """
+
+    def __init__(self) -> None:
+        self.status = b"200 OK"
+        self.headers = SIGNED
+
+    async def __call__(
+        self, _: Backend, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers one request."""
+        writer.write(HEAD % (self.status, self.headers))
+
+
+async def ask(harness: Harness) -> None:
+    async with harness.call("/look/a") as reply:
+        await reply.read()
+
+
+def limit_of(harness: Harness) -> float | None:
+    return harness.state.router.fleet.servers["s1"].limit.rate
+
+
+async def test_a_limit_holds_while_answers_name_it(harness: Harness) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+    speaker.headers = SIGNED + b"X-Server-Limit: 40\r\n"
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Equals(40.0))
+    speaker.headers = SIGNED
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Is(None))
+
+
+async def test_what_is_no_limit_changes_nothing(harness: Harness) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    speaker.headers = SIGNED + b"X-Server-Limit: -1\r\n"
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Is(None))
+    speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
+    await ask(harness)
+    speaker.headers = SIGNED + b"X-Server-Limit: many\r\n"
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (b"503 Full", b"X-Not-Run: 1\r\n"),
+        (b"500 Failed", SIGNED),
+        (b"421 Another", b"X-Not-Run: 1\r\nX-Server-Limit: 3\r\n"),
+    ],
+)
+async def test_what_is_no_success_of_it_ends_no_limit(
+    harness: Harness, status: bytes, headers: bytes
+) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
+    await ask(harness)
+    speaker.status, speaker.headers = status, headers
+    await ask(harness)
+    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
