--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -309,6 +309,14 @@
         has_read = {"operator", "servers", "phases"} <= state.topics_read
         return has_read and state.lease.is_current(state.clock())
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether it may serve requests that need no key."""
+        if self.relay is None:
+            return False
+        state = self.relay.state
+        return {"operator", "servers"} <= state.topics_read
+
     @property
     def reads(self) -> bool:
         """Whether it reads the store itself."""
@@ -343,6 +351,7 @@
         store: The store.
         members: The hosts.
         by_state: Hosts by the identity of their run's state.
+        cut_off: Names of hosts that can't reach the others.
     """
 
     def __init__(self, hosts: int, zones: int, strong: int) -> None:
@@ -356,6 +365,7 @@
         """
         self.store = Store()
         self.by_state: dict[int, Member] = {}
+        self.cut_off: frozenset[str] = frozenset()
         self.members = [
             Member(
                 self,
@@ -372,6 +382,9 @@
     ) -> peer_codec.CopyAnswer:
         """Carries a question from one relay to another."""
         asker = self.by_state[id(client._state)]
+        if {asker.name, host.name} & self.cut_off:
+            await asyncio.sleep(peer_client.TIMEOUT)
+            raise TimeoutError
         answer = await self._named[host.name].answer(data, asker)
         return peer_codec.decode_answer(answer)
 
