Say once what all hosts owe a server together; split roll-outs and the application

Behaviour stays. - core/relay/servers/shares.py: the hosts chosen for a server, their parts, and what was sent in a window, with a test of its promise at 1 to 360 hosts. warmup.py keeps only how servers warm up. - core/relay/versions/rollouts.py (372 lines) into phases, progress, sessions and the roll-outs themselves (176). - relay/application.py builds; relay/serving.py runs tasks and listeners and ends them.

--- a/benchmarks/warmup.py
+++ b/benchmarks/warmup.py
@@ -18,6 +18,7 @@
 import attrs
 
 from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.servers import shares
 from hoistmoor.core.relay.servers import warmup
 
 ALLOWED = 18.2
@@ -74,12 +75,15 @@
     host: int, known: list[str], now: float, clock: float, sent: list[float]
 ) -> bool:
     """A few hosts share it, chosen by rendezvous; see ``core``."""
-    shares = warmup.WarmupShares(f"h{host}")
-    shares.take_services({"llm": LLM})
-    shares.take_excess(warmup.Excess(1.5, 5.0))
-    shares.take_hosts(known)
+    warmups = warmup.Warmups()
+    warmups.take_services({"llm": LLM})
+    warmups.excess = warmup.Excess(1.5, 5.0)
+    found = warmups.of("llm")
+    assert found is not None
+    mine = shares.HostShares(f"h{host}")
+    mine.take_hosts(known)
     lately = sum(now - at < warmup.WINDOW for at in sent)
-    return lately < shares.share_of("llm", "server@1")
+    return lately < mine.part_of("server@1", found.shared).own
 
 
 def by_time(
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -102,7 +102,7 @@
             own: Name of this host.
         """
         self.fleet = fleet_lib.Fleet(own)
-        self.fleet.warmups.take_excess(bounds.warmup_excess)
+        self.fleet.warmups.excess = bounds.warmup_excess
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
         self.suspects = suspects_lib.SuspectTable()
@@ -124,7 +124,7 @@
         """Puts other bounds in force; what was counted stays."""
         self._bounds = bounds
         self.rollouts.sessions.life = bounds.session_life
-        self.fleet.warmups.take_excess(bounds.warmup_excess)
+        self.fleet.warmups.excess = bounds.warmup_excess
         for service in self._services.values():
             service.budget.ratio = bounds.repeat_ratio
             service.budget.window = bounds.repeat_window
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
 
 if TYPE_CHECKING:
@@ -44,7 +45,8 @@
     Attributes:
         servers: By id.
         evacuated: Failure domains whose servers get no new work.
-        warmups: This host's share of what cold servers may get.
+        warmups: How servers warm up.
+        shares: This host's part of what all hosts may send to one server.
     """
 
     def __init__(self, own: str = "") -> None:
@@ -54,7 +56,8 @@
             own: Name of this host.
         """
         self.servers: dict[str, server_lib.ServerState] = {}
-        self.warmups = warmup_lib.WarmupShares(own)
+        self.warmups = warmup_lib.Warmups()
+        self.shares = shares_lib.HostShares(own)
         self.evacuated: frozenset[str] = frozenset()
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
         # Last entries of servers that went, oldest first.
@@ -110,7 +113,7 @@
         ended = self.evacuated - zones
         self.evacuated = zones
         for each in self:
-            warmup = self.warmups.warmup_of(each.entry.service)
+            warmup = self.warmups.of(each.entry.service)
             if warmup is not None and each.entry.zone in ended:
                 each.cold_until = max(each.cold_until, now + warmup.duration)
 
@@ -127,17 +130,20 @@
             now: Steady time.
             draw: Random number, 0 to 1.
         """
-        warmup = self.warmups.warmup_of(state.entry.service)
+        warmup = self.warmups.of(state.entry.service)
         if warmup is not None:
             state.doubted_until = now + warmup.duration * (1.0 + draw)
 
     def _has_share(self, state: server_lib.ServerState, now: float) -> bool:
         """Returns whether this host may send one more to a cold server."""
         entry = state.entry
-        if self.warmups.warmup_of(entry.service) is None:
+        warmup = self.warmups.of(entry.service)
+        if warmup is None:
             return True  # It is slow for a while, and may be used as any.
-        share = self.warmups.share_of(entry.service, entry.identity)
-        return state.sends.count(now) < share
+        part = self.shares.part_of(entry.identity, warmup.shared)
+        if not part.own:
+            return False
+        return not state.sends.wait(part.own, warmup_lib.WINDOW, now)
 
     def _replace(
         self,
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -11,7 +11,7 @@
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import runs as runs_lib
-from hoistmoor.core.relay.servers import warmup as warmup_lib
+from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.routing import health as health_lib
 
 LOAD_LIFE = 3.0  # Seconds after which a reported load counts no more.
@@ -150,7 +150,7 @@
     cold_until: float = float("-inf")
     doubted_until: float = float("-inf")
     absent_until: float = float("-inf")
-    sends: warmup_lib.RecentSends = attrs.field(factory=warmup_lib.RecentSends)
+    sends: shares_lib.RecentSends = attrs.field(factory=shares_lib.RecentSends)
     runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
     has_ended: bool = False
     limit: limits_lib.LimitBelief = attrs.field(factory=limits_lib.LimitBelief)
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -9,7 +9,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.servers import server as server_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.platform import fields as fields_lib
 
 if TYPE_CHECKING:
@@ -29,10 +29,10 @@
 }
 
 _STATES = {
-    rollouts.Phase.TRIAL: "in_progress",
-    rollouts.Phase.SPREAD: "in_progress",
-    rollouts.Phase.COMPLETE: "complete",
-    rollouts.Phase.REVERTED: "reverted",
+    phases.Phase.TRIAL: "in_progress",
+    phases.Phase.SPREAD: "in_progress",
+    phases.Phase.COMPLETE: "complete",
+    phases.Phase.REVERTED: "reverted",
 }
 
 
@@ -51,12 +51,12 @@
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             raise _unreadable(record, error) from error
 
-    def order(self, record: topics.Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> phases.Order | None:
         """Returns the roll-out order, if the record holds one."""
         if not record.key.startswith(_ROLLOUT_PREFIX):
             return None
         fields = _load(record, fields_lib.ORDER)
-        return rollouts.Order(
+        return phases.Order(
             service=fields["service"],
             target=fields["target"],  # A version, not an address.
             duration=float(fields["duration_s"]),
@@ -85,7 +85,7 @@
             sequence=fields["sequence"],
         )
 
-    def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
+    def status(self, record: phases.PhaseRecord) -> tuple[str, bytes]:
         """Returns key and value of a roll-out's status."""
         fields = {
             "service": record.service,
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -1,16 +1,12 @@
-"""Runs a relay until a stop signal, then stops gracefully."""
+"""Builds a relay: its state, its tasks and its ways to the outside."""
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import functools
-import gc
 import os
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
 from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import sessions
 from hoistmoor.core.relay.beliefs import freshness
@@ -21,6 +17,7 @@
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import counters
 from hoistmoor.relay import event_log
+from hoistmoor.relay import serving
 from hoistmoor.relay import settings_task
 from hoistmoor.relay import state as state_lib
 from hoistmoor.relay import suspension
@@ -28,7 +25,6 @@
 from hoistmoor.relay.front import front as front_lib
 from hoistmoor.relay.front import relay_task
 from hoistmoor.relay.front import server_ends
-from hoistmoor.relay.peers import answers as answers_lib
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
@@ -38,10 +34,10 @@
 from hoistmoor.relay.store import store_gate
 from hoistmoor.relay.versions import rollout_task
 from hoistmoor.utils import clocks
-from hoistmoor.utils import listening
 from hoistmoor.utils import signals
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     import aiohttp
@@ -49,16 +45,8 @@
     from hoistmoor.relay import settings as settings_lib
     from hoistmoor.relay.store import ports
 
-# Seconds from the stop signal in which requests are still taken: the balancer
-# asks once a second and needs two refusals.
-TAKE_ON = 2.5
-# Seconds between two looks at the clock meanwhile: it goes on while the machine
-# is suspended, and timers do not.
-STOP_LOOK = 0.5
-STOP_MARGIN = 0.8  # Seconds before the end by force at which requests are cut.
 IDLE_TO_SERVERS = 4.0  # Seconds that an unused connection to one is kept.
 UNANSWERED = 2.0  # Seconds that bytes to a server may stay unacknowledged.
-LARGEST_LINE = 16384  # Bytes of one line of a request's head.
 LOG_DESCRIPTOR = 1  # Standard output.
 
 
@@ -73,8 +61,6 @@
         front: Serves callers.
         followers: Read the topics, by name.
         loops: What runs while it serves, by name.
-        addresses: ``ip:port`` of each listener: callers, balancer, metrics,
-            other relays.
     """
 
     def __init__(
@@ -97,7 +83,6 @@
             clock: Steady time that counts suspensions, in seconds.
         """
         self.settings = settings
-        self.addresses: list[str] = []
         seed = int.from_bytes(os.urandom(8), "big")
         draws = hashing.Draws.seeded(seed)
         self.state = state_lib.RelayState(
@@ -149,6 +134,21 @@
             yields=bool(settings.peer_listen),
         )
         self._make_tasks(platform, peer_session)
+        self._serving = serving.Serving(
+            self.state,
+            self.front,
+            self.followers,
+            self.loops,
+            lambda: self.settings,
+        )
+
+    @property
+    def addresses(self) -> list[str]:
+        """``ip:port`` of the listeners.
+
+        In this order: callers, balancer, metrics, other relays.
+        """
+        return self._serving.addresses
 
     def apply(self, settings: settings_lib.RelaySettings) -> None:
         """Puts changed settings in force; addresses stay until a restart."""
@@ -181,7 +181,7 @@
             self._gate,
         ).run
         if not settings.peer_listen:
-            self.state.router.fleet.warmups.take_hosts([settings.host])
+            self.state.router.fleet.shares.take_hosts([settings.host])
             return
         own = mirror.Host(
             settings.host, settings.zone, settings.peer_listen, settings.link
@@ -207,77 +207,7 @@
 
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then stops gracefully."""
-        runners = await self._listen()
-        tasks = [
-            asyncio.create_task(loop(), name=name)
-            for name, loop in self.loops.items()
-        ]
-        self.state.log.write("start", listen=self.settings.listen)
-        gc.collect()
-        gc.freeze()  # What a start makes is never garbage; do not scan it.
-        try:
-            stopping = asyncio.create_task(stop.wait())
-            await asyncio.wait(
-                {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in tasks:
-                if task.done():
-                    task.result()
-            await self._stop()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            for runner in runners:
-                await runner.cleanup()
-
-    async def _listen(self) -> list[web.ServerRunner]:
-        settings = self.settings
-        readiness = front_lib.Readiness(self.state)
-        pages = [
-            (settings.listen, self.front.handle),
-            (settings.ready_listen, readiness.handle),
-        ]
-        if settings.metrics_listen:
-            metrics = front_lib.MetricsPage(self.state)
-            pages.append((settings.metrics_listen, metrics.handle))
-        if settings.peer_listen:
-            answers = answers_lib.PeerAnswers(self.state, self.followers)
-            pages.append((settings.peer_listen, answers.handle))
-        runners = []
-        for address, handler in pages:
-            server = web.Server(
-                handler,
-                handler_cancellation=True,
-                access_log=None,
-                auto_decompress=False,
-                max_line_size=LARGEST_LINE,
-                max_field_size=LARGEST_LINE,
-                keepalive_timeout=3600.0,
-            )
-            runner = web.ServerRunner(server, shutdown_timeout=0.1)
-            await runner.setup()
-            listener = listening.bind(address)
-            await web.SockSite(runner, listener).start()
-            self.addresses.append(listening.address_of(listener))
-            runners.append(runner)
-        return runners
-
-    async def _stop(self) -> None:
-        """Ends each request with its whole answer while there is time."""
-        state = self.state
-        began = state.clock()
-        state.log.write("stopping", running=len(self.front.running))
-        state.draining = True
-        await asyncio.sleep(TAKE_ON)
-        state.stopping = True
-        end = began + self.settings.stop_timeout - STOP_MARGIN
-        while self.front.running and state.clock() < end:
-            await asyncio.wait(
-                set(self.front.running),
-                timeout=min(STOP_LOOK, end - state.clock()),
-            )
-        state.log.write("stop", left=len(self.front.running))
+        await self._serving.serve(stop)
 
 
 def _bounds(settings: settings_lib.RelaySettings) -> router_lib.Bounds:
--- a/src/hoistmoor/relay/peers/listing.py
+++ b/src/hoistmoor/relay/peers/listing.py
@@ -42,7 +42,7 @@
             except ValueError as error:
                 self._state.note_unreadable("host", record, error)
         if update.batch.records:  # Most updates bring none.
-            self._state.router.fleet.warmups.take_hosts(self._sources.hosts)
+            self._state.router.fleet.shares.take_hosts(self._sources.hosts)
         return update.batch.records
 
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -8,7 +8,7 @@
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.relay.versions import rollout_codec
 
 if TYPE_CHECKING:
@@ -255,5 +255,5 @@
         return [
             run_name
             for run_name, at in self._heard.items()
-            if now - at < rollouts.ACTOR_LIFE
+            if now - at < phases.ACTOR_LIFE
         ]
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -12,7 +12,7 @@
     from hoistmoor.core.relay.beliefs import configuration
     from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.core.relay.servers import server as server_lib
-    from hoistmoor.core.relay.versions import rollouts
+    from hoistmoor.core.relay.versions import phases as phases_lib
 
 
 class KeyedTopic(Protocol):
@@ -81,7 +81,7 @@
     ) -> configuration.Configuration | None:
         """Returns the configuration that an operator's record holds, if so."""
 
-    def order(self, record: topics.Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> phases_lib.Order | None:
         """Returns the roll-out order that an operator's record holds."""
 
     def evacuated_zone(self, record: topics.Record) -> str | None:
@@ -94,7 +94,7 @@
     def server(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns a backend server's entry."""
 
-    def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
+    def status(self, record: phases_lib.PhaseRecord) -> tuple[str, bytes]:
         """Returns key and value of a roll-out's status."""
 
 
--- a/src/hoistmoor/relay/versions/rollout_codec.py
+++ b/src/hoistmoor/relay/versions/rollout_codec.py
@@ -5,7 +5,7 @@
 import attrs
 
 from hoistmoor.core.relay.versions import evidence as evidence_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.relay import records
 
 
@@ -22,14 +22,14 @@
     evidence: tuple[evidence_lib.Evidence, ...]
 
 
-def encode(record: rollouts.PhaseRecord | EvidenceReport) -> bytes:
+def encode(record: phases.PhaseRecord | EvidenceReport) -> bytes:
     """Returns a record's bytes."""
     return records.encode(record)
 
 
-def decode_phase(data: bytes) -> rollouts.PhaseRecord:
+def decode_phase(data: bytes) -> phases.PhaseRecord:
     """Returns the phase that ``data`` holds; raises ``ValueError``."""
-    return records.decode(data, rollouts.PhaseRecord)
+    return records.decode(data, phases.PhaseRecord)
 
 
 def decode_report(data: bytes) -> EvidenceReport:
--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -11,7 +11,8 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.versions import evidence as evidence_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases as phases_lib
+from hoistmoor.core.relay.versions import progress as progress_lib
 from hoistmoor.relay.store import follower as follower_lib
 from hoistmoor.relay.store import listeners
 from hoistmoor.relay.versions import rollout_codec
@@ -59,9 +60,9 @@
             pause=0.0,
             gate=gate,
         )
-        self._due_since: dict[rollouts.PhaseRecord, float] = {}
-        self._told: dict[rollouts.Order, int] = {}
-        self._status_written: dict[str, rollouts.PhaseRecord] = {}
+        self._due_since: dict[phases_lib.PhaseRecord, float] = {}
+        self._told: dict[phases_lib.Order, int] = {}
+        self._status_written: dict[str, phases_lib.PhaseRecord] = {}
 
     async def run(self) -> None:
         """Looks at all roll-outs until cancelled."""
@@ -84,7 +85,7 @@
             except errors.HoistmoorError as error:
                 self._state.log.write("rollout_waits", detail=error.problem)
 
-    def _is_settled(self, progress: rollouts.Progress) -> bool:
+    def _is_settled(self, progress: progress_lib.Progress) -> bool:
         written = self._status_written.get(progress.order.service)
         return (
             progress.phase.is_final
@@ -93,14 +94,14 @@
         )
 
     def _record(
-        self, progress: rollouts.Progress, phase: rollouts.Phase
-    ) -> rollouts.PhaseRecord:
+        self, progress: progress_lib.Progress, phase: phases_lib.Phase
+    ) -> phases_lib.PhaseRecord:
         order = progress.order
-        return rollouts.PhaseRecord(
+        return phases_lib.PhaseRecord(
             order.service, order.target, order.number, phase
         )
 
-    async def _look(self, active: list[rollouts.Progress]) -> None:
+    async def _look(self, active: list[progress_lib.Progress]) -> None:
         for progress in active:
             await self._tell(progress)
         await self._evidence.read_once()
@@ -108,7 +109,7 @@
             await self._advance(progress)
             await self._write_status(progress)
 
-    async def _tell(self, progress: rollouts.Progress) -> None:
+    async def _tell(self, progress: progress_lib.Progress) -> None:
         """Writes the counts known here, if the target has answered more."""
         order, state = progress.order, self._state
         near = [
@@ -127,13 +128,13 @@
         )
         self._told[order] = answers
 
-    async def _advance(self, progress: rollouts.Progress) -> None:
+    async def _advance(self, progress: progress_lib.Progress) -> None:
         order = progress.order
         pooled = evidence_lib.pool(
             self._heard.book.of(order.service, order.number)
         )
         elapsed = progress.elapsed(self._state.clock())
-        phase = rollouts.next_phase(
+        phase = phases_lib.next_phase(
             progress.phase, pooled, elapsed, is_doubted=progress.is_doubted
         )
         if phase is None or not self._is_my_turn(progress, phase):
@@ -158,18 +159,18 @@
             self._state.router.rollouts.take_phase(record)
 
     def _is_my_turn(
-        self, progress: rollouts.Progress, phase: rollouts.Phase
+        self, progress: progress_lib.Progress, phase: phases_lib.Phase
     ) -> bool:
         order = progress.order
         now = self._state.clock()
         record = self._record(progress, phase)
         since = self._due_since.setdefault(record, now)
-        turn = rollouts.turn_of(
+        turn = phases_lib.turn_of(
             self._state.run_name, self._heard.live_writers(), order.number
         )
         return now - since >= turn
 
-    async def _write_status(self, progress: rollouts.Progress) -> None:
+    async def _write_status(self, progress: progress_lib.Progress) -> None:
         record = self._record(progress, progress.phase)
         service = progress.order.service
         if self._status_written.get(service) == record:
--- /dev/null
+++ b/tests/core/relay/servers/test_relay_shares.py
@@ -0,0 +1,102 @@
+"""What many hosts together may send to one server."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import shares
+
+NOW = 100.0
+HOSTS = (1, 7, 84, 360)
+SERVERS = [f"s{number}" for number in range(10)]
+
+
+def names(count: int) -> list[str]:
+    return [f"h{number}" for number in range(count)]
+
+
+def made(own: str, hosts: list[str]) -> shares.HostShares:
+    found = shares.HostShares(own)
+    found.take_hosts(hosts)
+    return found
+
+
+@pytest.mark.parametrize("requests", [1, 2, 3, 9, 33, 500])
+@pytest.mark.parametrize("hosts", HOSTS)
+def test_the_parts_of_all_hosts_add_up_to_the_bound(
+    hosts: int, requests: int
+) -> None:
+    listed = names(hosts)
+    known = [made(name, listed) for name in listed]
+    for server in SERVERS[:5]:
+        parts = [each.part_of(server, requests) for each in known]
+        total = sum(part.own for part in parts)
+        assertions.assert_that(total, matchers.LessThan(requests + 1))
+        # What a whole number for each host leaves over is less than that.
+        assertions.assert_that(total, matchers.GreaterThan(requests / 2))
+        told = {part.all_hosts for part in parts}
+        assertions.assert_that(told, matchers.Equals({total}))
+
+
+@pytest.mark.parametrize("hosts", HOSTS[1:])
+def test_lists_that_lack_a_fifth_add_a_quarter_on_average(hosts: int) -> None:
+    # Of ten hosts that stand before another one in the order, eight are known
+    # to it: it counts itself among the first three as often as it would among
+    # the first 3.75 if it knew all.
+    totals = []
+    for seed in range(10):
+        draws = random.Random(seed)
+        known = []
+        for name in names(hosts):
+            others = [n for n in names(hosts) if draws.random() > 0.2]
+            known.append(made(name, [name, *others]))
+        totals += [
+            sum(each.part_of(server, 3).own for each in known)
+            for server in SERVERS
+        ]
+    mean = sum(totals) / len(totals)
+    assertions.assert_that(mean, matchers.LessThan(3 / 0.8 * 1.05))
+    assertions.assert_that(max(totals), matchers.LessThan(2 * 3 + 1))
+
+
+def test_a_host_that_is_not_listed_has_no_part() -> None:
+    for listed in ([], ["h2", "h3"]):
+        part = made("h1", listed).part_of("s1", 9)
+        assertions.assert_that(part.own, matchers.Equals(0))
+
+
+@pytest.mark.parametrize("requests", [1, 3, shares.MOST_SENDS])
+def test_no_window_has_more_sends_than_the_part(requests: int) -> None:
+    sends = shares.RecentSends()
+    window = 2.0
+    now = NOW
+    times = []
+    for _ in range(4 * requests):
+        now += sends.wait(requests, window, now)
+        sends.note(now)
+        times.append(now)
+    spans = [
+        times[number + requests] - times[number]
+        for number in range(len(times) - requests)
+    ]
+    assertions.assert_that(min(spans), matchers.GreaterThan(window - 1e-6))
+
+
+def test_a_part_above_what_is_remembered_keeps_its_rate() -> None:
+    sends = shares.RecentSends()
+    part = 4 * shares.MOST_SENDS
+    now = NOW
+    sent = 0
+    while now < NOW + 10.0:
+        wait = sends.wait(part, 2.0, now)
+        now += wait
+        if not wait:
+            sends.note(now)
+            sent += 1
+    assertions.assert_that(
+        sent, matchers.LessThan(part / 2.0 * 10.0 + shares.MOST_SENDS + 1)
+    )
--- a/tests/core/relay/servers/test_relay_warmup.py
+++ b/tests/core/relay/servers/test_relay_warmup.py
@@ -38,8 +38,8 @@
     """Returns the fleet of a host with two engines, one of them cold."""
     made = fleet_lib.Fleet(own)
     made.warmups.take_services({"llm": LLM})
-    made.warmups.take_excess(EXCESS)
-    made.warmups.take_hosts(hosts)
+    made.warmups.excess = EXCESS
+    made.shares.take_hosts(hosts)
     made.put(entry("warm"), NOW)
     made.put(entry("cold", warm_in=3.0), NOW)
     return made
@@ -207,7 +207,7 @@
 def test_the_hosts_that_may_send_to_cold_servers_try_it_soon(
     router: router_lib.Router,
 ) -> None:
-    router.fleet.warmups.take_hosts(["h1"])
+    router.fleet.shares.take_hosts(["h1"])
     fail_to_connect(router, "a", NOW)
     assertions.assert_that(
         ready(router.fleet, NOW + 2.0), matchers.Equals({"a", "b"})
--- a/tests/core/relay/versions/test_relay_rollouts.py
+++ b/tests/core/relay/versions/test_relay_rollouts.py
@@ -7,17 +7,18 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.relay.versions import rollouts
 
-Phase = rollouts.Phase
-ORDER = rollouts.Order("llm", "v2", 20.0, 7)
+Phase = phases.Phase
+ORDER = phases.Order("llm", "v2", 20.0, 7)
 BOTH = {"v1", "v2"}
 NONE: frozenset[str] = frozenset()
 SECOND_HALF = 13.0  # Seconds after the order.
 
 
-def record(phase: Phase, number: int = 7) -> rollouts.PhaseRecord:
-    return rollouts.PhaseRecord("llm", "v2", number, phase)
+def record(phase: Phase, number: int = 7) -> phases.PhaseRecord:
+    return phases.PhaseRecord("llm", "v2", number, phase)
 
 
 @pytest.fixture
@@ -171,13 +172,13 @@
     book: rollouts.RolloutBook,
 ) -> None:
     book.take_phase(record(Phase.REVERTED))
-    book.take_order(rollouts.Order("llm", "v3", 20.0, 9), 5.0)
+    book.take_order(phases.Order("llm", "v3", 20.0, 9), 5.0)
     chosen = book.choose("llm", {"v1", "v2"}, "", NONE, 6.0)
     assertions.assert_that(chosen, matchers.Equals({"v1"}))
 
 
 def test_an_older_order_changes_nothing(book: rollouts.RolloutBook) -> None:
-    older = rollouts.Order("llm", "v9", 20.0, 3)
+    older = phases.Order("llm", "v9", 20.0, 3)
     assertions.assert_that(book.take_order(older, 1.0), matchers.Is(False))
     assertions.assert_that(book.progress["llm"].order, matchers.Equals(ORDER))
 
@@ -198,7 +199,7 @@
         ((30, 0, 0), (300, 0, 0), 0.7, Phase.SPREAD),
         # Nobody has tried it: it must not spread.
         ((0, 0, 0), (300, 0, 0), 0.99, None),
-        ((rollouts.MIN_PROOF - 1, 0, 0), (300, 0, 0), 0.99, None),
+        ((phases.MIN_PROOF - 1, 0, 0), (300, 0, 0), 0.99, None),
         ((12, 6, 0), (100, 0, 0), 0.1, Phase.REVERTED),
         ((12, 0, 8), (100, 0, 0), 0.1, Phase.REVERTED),
         # As many failures as the version before has are nothing new.
@@ -214,7 +215,7 @@
     expected: Phase | None,
 ) -> None:
     pooled = evidence(target, others)
-    verdict = rollouts.next_phase(Phase.TRIAL, pooled, elapsed)
+    verdict = phases.next_phase(Phase.TRIAL, pooled, elapsed)
     assertions.assert_that(verdict, matchers.Equals(expected))
 
 
@@ -222,14 +223,14 @@
 def test_nothing_follows_a_final_phase(phase: Phase) -> None:
     bad = evidence((50, 50, 0), (50, 0, 0))
     assertions.assert_that(
-        rollouts.next_phase(phase, bad, 0.99), matchers.Is(None)
+        phases.next_phase(phase, bad, 0.99), matchers.Is(None)
     )
 
 
 def test_a_version_that_turns_bad_late_is_withdrawn() -> None:
     bad = evidence((100, 40, 0), (100, 0, 0))
     assertions.assert_that(
-        rollouts.next_phase(Phase.SPREAD, bad, 0.7),
+        phases.next_phase(Phase.SPREAD, bad, 0.7),
         matchers.Equals(Phase.REVERTED),
     )
 
@@ -242,7 +243,7 @@
         "reply": evidence((4, 1, 0), (43, 0, 0))["chat"],
     }
     assertions.assert_that(
-        rollouts.next_phase(Phase.TRIAL, pooled, 0.3),
+        phases.next_phase(Phase.TRIAL, pooled, 0.3),
         matchers.Equals(Phase.REVERTED),
     )
 
@@ -253,7 +254,7 @@
         "reply": evidence((60, 0, 0), (400, 4, 0))["chat"],
     }
     assertions.assert_that(
-        rollouts.next_phase(Phase.TRIAL, pooled, 0.3),
+        phases.next_phase(Phase.TRIAL, pooled, 0.3),
         matchers.Equals(Phase.REVERTED),
     )
 
@@ -272,7 +273,7 @@
 ) -> None:
     pooled = evidence(target, others)
     assertions.assert_that(
-        rollouts.next_phase(Phase.TRIAL, pooled, 0.7),
+        phases.next_phase(Phase.TRIAL, pooled, 0.7),
         matchers.Equals(Phase.SPREAD),
     )
 
@@ -280,7 +281,7 @@
 def test_a_doubt_is_not_forgotten() -> None:
     later = evidence((20, 3, 0), (300, 20, 0))
     assertions.assert_that(
-        rollouts.next_phase(Phase.TRIAL, later, 0.9, is_doubted=True),
+        phases.next_phase(Phase.TRIAL, later, 0.9, is_doubted=True),
         matchers.Equals(Phase.REVERTED),
     )
 
@@ -288,7 +289,7 @@
 def test_a_doubtful_version_must_prove_more_before_it_spreads() -> None:
     doubtful = evidence((20, 4, 0), (100, 0, 0))
     assertions.assert_that(
-        rollouts.next_phase(Phase.TRIAL, doubtful, 0.9), matchers.Is(None)
+        phases.next_phase(Phase.TRIAL, doubtful, 0.9), matchers.Is(None)
     )
 
 
@@ -306,8 +307,8 @@
 
 def test_hosts_take_turns_in_one_order() -> None:
     hosts = [f"h{number}" for number in range(5)]
-    turns = [rollouts.turn_of(host, hosts, 7) for host in hosts]
-    expected = [place * rollouts.TURN for place in range(5)]
+    turns = [phases.turn_of(host, hosts, 7) for host in hosts]
+    expected = [place * phases.TURN for place in range(5)]
     assertions.assert_that(sorted(turns), matchers.Equals(expected))
 
 
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -15,7 +15,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.beliefs import topics
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.platform import codec as codec_lib
 from hoistmoor.platform import names
 from hoistmoor.platform import settings
@@ -117,7 +117,7 @@
     fields = {"service": "a", "target": "v2", "duration_s": 12}
     found = CODEC.order(record("rollout/a", fields, offset=9))
     assertions.assert_that(
-        found, matchers.Equals(rollouts.Order("a", "v2", 12.0, 9))
+        found, matchers.Equals(phases.Order("a", "v2", 12.0, 9))
     )
 
 
@@ -249,14 +249,14 @@
 @pytest.mark.parametrize(
     ("phase", "state"),
     [
-        (rollouts.Phase.TRIAL, "in_progress"),
-        (rollouts.Phase.SPREAD, "in_progress"),
-        (rollouts.Phase.COMPLETE, "complete"),
-        (rollouts.Phase.REVERTED, "reverted"),
+        (phases.Phase.TRIAL, "in_progress"),
+        (phases.Phase.SPREAD, "in_progress"),
+        (phases.Phase.COMPLETE, "complete"),
+        (phases.Phase.REVERTED, "reverted"),
     ],
 )
-def test_a_status(phase: rollouts.Phase, state: str) -> None:
-    key, value = CODEC.status(rollouts.PhaseRecord("a", "v2", 9, phase))
+def test_a_status(phase: phases.Phase, state: str) -> None:
+    key, value = CODEC.status(phases.PhaseRecord("a", "v2", 9, phase))
     assertions.assert_that(key, matchers.Equals("rollout/a"))
     fields = orjson.loads(value)
     assertions.assert_that(fields["state"], matchers.Equals(state))
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -16,6 +16,7 @@
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
+from hoistmoor.relay import serving
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
 from hoistmoor.relay.store import followers
@@ -132,7 +133,7 @@
     """A relay that has read its configuration."""
     monkeypatch.setattr(followers, "SERVERS_PAUSE", 0.02)
     monkeypatch.setattr(followers, "OPERATOR_WAIT", 0.2)
-    monkeypatch.setattr(application, "TAKE_ON", 0.1)
+    monkeypatch.setattr(serving, "TAKE_ON", 0.1)
     # The lines go nowhere; pytest's own capture cannot be made non-blocking.
     nowhere = os.open(os.devnull, os.O_WRONLY)
     monkeypatch.setattr(application, "LOG_DESCRIPTOR", nowhere)
--- a/tests/relay/front/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -13,7 +13,7 @@
 from testtools import assertions
 from testtools import matchers
 
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 
 if TYPE_CHECKING:
     from conftest import Backend
@@ -449,12 +449,12 @@
     await harness.add_backend("s1", answer_done)
     bad = await harness.add_backend("s2", fail, version="v2")
     platform = harness.platform
-    order = rollouts.Order("desk", "v2", 60.0, 0)
+    order = phases.Order("desk", "v2", 60.0, 0)
     await platform.publish(platform.operator, "rollout", order)
     await harness.until(lambda: bool(harness.state.router.rollouts.progress))
     progress = harness.state.router.rollouts.progress["desk"]
     async with asyncio.timeout(20.0):
-        while progress.phase is not rollouts.Phase.REVERTED:
+        while progress.phase is not phases.Phase.REVERTED:
             await _status(harness, "/look/")
             await asyncio.sleep(0.002)
     sent = len(bad.requests)
--- a/tests/relay/peers/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -18,7 +18,7 @@
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import reading
 from hoistmoor.core.relay.versions import evidence as evidence_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
 from hoistmoor.relay.front import relay_task
@@ -250,7 +250,7 @@
     pair: list[Member],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    order = rollouts.Order("llm", "v2", 60.0, 3)
+    order = phases.Order("llm", "v2", 60.0, 3)
     await platform.publish(platform.operator, "rollout", order)
     books = [each.relay.state.router.rollouts for each in pair]
     await until(lambda: all("llm" in book.progress for book in books))
@@ -276,7 +276,7 @@
 async def test_hosts_tell_one_another_that_a_version_is_bad(
     platform: relay_platform.MemoryPlatform, pair: list[Member], finds: int
 ) -> None:
-    order = rollouts.Order("desk", "v2", 1000.0, 7)
+    order = phases.Order("desk", "v2", 1000.0, 7)
     await platform.publish(platform.operator, "rollout/desk", order)
     states = [each.relay.state for each in pair]
     await until(lambda: all(each.router.rollouts.progress for each in states))
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from hoistmoor.core.relay.versions import rollouts
+    from hoistmoor.core.relay.versions import phases
 
 
 @attrs.define
@@ -327,7 +327,7 @@
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
     class TornCodec(relay_platform.NamedCodec):
-        def order(self, record: topics.Record) -> rollouts.Order | None:
+        def order(self, record: topics.Record) -> phases.Order | None:
             raise errors.CodecError("torn", "Look at it.")
 
     codec = TornCodec(platform.codec.known)
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -13,7 +13,7 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.servers import server as server_lib
-from hoistmoor.core.relay.versions import rollouts
+from hoistmoor.core.relay.versions import phases as phases_lib
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.store import ports
 
@@ -94,10 +94,10 @@
         is_it = isinstance(found, configuration.Configuration)
         return found if is_it else None
 
-    def order(self, record: topics.Record) -> rollouts.Order | None:
+    def order(self, record: topics.Record) -> phases_lib.Order | None:
         """Returns the order that the record names, if it does."""
         found = self.known.get(record.value or b"")
-        return found if isinstance(found, rollouts.Order) else None
+        return found if isinstance(found, phases_lib.Order) else None
 
     def evacuated_zone(self, record: topics.Record) -> str | None:
         """Returns the failure domain after ``empty-`` in the key."""
@@ -111,7 +111,7 @@
             raise errors.CodecError("unreadable", "Look at it.")
         return found
 
-    def status(self, record: rollouts.PhaseRecord) -> tuple[str, bytes]:
+    def status(self, record: phases_lib.PhaseRecord) -> tuple[str, bytes]:
         """Returns a status that tells target and phase."""
         return record.service, f"{record.target} {record.phase}".encode()
 
