Keep to the limit that a server names, all hosts together

What callers and operators saw: servers in need named the requests a second that they take from all hosts, and got three times as many; the least busy of them got more than before. Cause: nobody read what they named. Its class: a bound that all hosts owe together; had each host kept it alone, 7 to 360 hosts would have sent 7 to 360 times as many. Why it holds: hosts chosen by rendezvous hashing for a server and a turn, each one request in a window, sum up to 0.85 of the rate wherever lists agree, and to a quarter more where they lack a fifth. All hosts are told along the tree what an answer named, so that those which send nothing learn of its begin and end. Where no answer comes, the turn ends and others are chosen: hosts that are down, or without callers, cost no server its part. Where all servers are limited the rest is refused at once, not run, with the time until there is room; an answer of a small model is kept where no larger one could be asked. Tested with old lists, a third cut off, a third down, all restarted, 0.3 to 30 a second, 7 to 360 hosts; half of a limit is used, and all of it within ten seconds after its end.

--- a/src/hoistmoor/core/refusals.py
+++ b/src/hoistmoor/core/refusals.py
@@ -4,6 +4,7 @@
 
 import enum
 from http import HTTPStatus
+import math
 
 import attrs
 
@@ -47,6 +48,7 @@
     BACKEND_CUT = "backend_cut"
     BACKEND_ERROR = "backend_error"
     CRASHES_SERVERS = "crashes_servers"
+    SERVERS_LIMITED = "servers_limited"
     CALLER_LEFT = "caller_left"
     INTERNAL = "internal"
 
@@ -181,6 +183,11 @@
         _FIX,
         "Change the request; servers that ran it have crashed.",
     ),
+    Reason.SERVERS_LIMITED: Rule(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        _SOON,
+        "Wait, then try again, maybe at another host.",
+    ),
     Reason.CALLER_LEFT: Rule(
         HTTPStatus.REQUEST_TIMEOUT, _SOON, "Keep the connection open."
     ),
@@ -206,7 +213,7 @@
     reason: Reason
     outcome: outcomes.Outcome
     detail: str = ""
-    retry_after: int | None = None
+    retry_after: float | None = None
     key_outcome: outcomes.Outcome | None = None
 
     @property
@@ -218,5 +225,5 @@
     def wait(self) -> int:
         """Seconds for the Retry-After header."""
         if self.retry_after is not None:
-            return self.retry_after
+            return math.ceil(self.retry_after)
         return self.rule.retry_after
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.course import retry_after
 from hoistmoor.core.relay.servers import runs
 
 if TYPE_CHECKING:
@@ -120,6 +121,8 @@
             return None
         if self._runs + 1 >= request.route.max_attempts:
             return None
+        if self._router.wait_for_room(request, now) is not None:
+            return None  # Nobody could give the better one.
         largest = request.route.sizes[-1] if request.route.sizes else ""
         better = cascade.next_size(
             request.route.sizes,
@@ -254,8 +257,7 @@
             now,
         )
         if server is None:
-            self._detail = self._detail or "no backend server is ready"
-            return self._give_up(reason)
+            return self._refuse_unplaced(reason, now)
         send = messages.Send(
             server,
             self.model,
@@ -271,6 +273,23 @@
         self.server = server
         return send
 
+    def _refuse_unplaced(
+        self, reason: refusals.Reason, now: float
+    ) -> messages.Effect:
+        """Ends a request that no server may get now.
+
+        Where all servers have named limits it is refused at once: to wait for
+        room here would only let others wait behind it.
+        """
+        wait = self._router.wait_for_room(self.request, now)
+        if wait is None:
+            self._detail = self._detail or "no backend server is ready"
+            return self._give_up(reason)
+        if reason is refusals.Reason.NO_CAPACITY:
+            reason = refusals.Reason.SERVERS_LIMITED
+        self._detail = self._detail or "each backend server has named a limit"
+        return self._give_up(reason, max(wait, retry_after.FOR_ROOM))
+
     def _refuse_quarantined(self, now: float) -> messages.Effect:
         self._detail = "servers that ran this request have crashed"
         left = self._router.suspects.left_for(self.request.fingerprint, now)
@@ -288,7 +307,7 @@
         return max(LEAST_PATIENCE, route.target * PATIENCE_FACTOR)
 
     def _give_up(
-        self, reason: refusals.Reason, retry_after: int | None = None
+        self, reason: refusals.Reason, wait: float | None = None
     ) -> messages.Effect:
         if self._begun:
             return messages.Break(self._detail)
@@ -296,7 +315,7 @@
         if self.may_have_run:
             outcome = outcomes.Outcome.UNKNOWN
         return messages.Refuse(
-            refusals.Refusal(reason, outcome, self._detail, retry_after)
+            refusals.Refusal(reason, outcome, self._detail, wait)
         )
 
 
--- a/src/hoistmoor/core/relay/placement/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -120,12 +120,15 @@
     """Returns a few servers, near ones more often."""
     if len(ready) <= DRAWN:
         return list(ready)
+    # Only a few hosts may send to a server that has named a limit, each
+    # seldom. Drawn like any other, one of 90 got less than half of its limit.
+    limited = [each for each in ready if each.limit.rate is not None]
 
     def key(server: server_lib.ServerState) -> float:
         uniform = (draws.below(_DRAWS) + 1) / _DRAWS
         return -math.log(uniform) / nearness[server.entry.identity]
 
-    return heapq.nsmallest(DRAWN, ready, key=key)
+    return heapq.nsmallest(DRAWN, ready, key=key) + limited
 
 
 def _holder(
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -182,6 +182,16 @@
             now,
         )
 
+    def wait_for_room(
+        self, request: requests.RelayRequest, now: float
+    ) -> float | None:
+        """Returns the seconds until some server's limit has room for it.
+
+        None unless the limits that servers have named are what keeps it from
+        all of them.
+        """
+        return self.fleet.wait_for_room(request.service, now)
+
     def class_of(
         self, request: requests.RelayRequest, model: str
     ) -> partition_lib.WorkClass:
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
@@ -145,6 +146,36 @@
             return False
         return not state.sends.wait(part.own, warmup_lib.WINDOW, now)
 
+    def _limit_wait(self, state: server_lib.ServerState, now: float) -> float:
+        """Returns the seconds until a server's limit has room for one more.
+
+        Where this host is none of those that send to it, some other one has.
+        """
+        rate = state.limit.rate
+        if rate is None:
+            return 0.0
+        part = self.shares.part_of(
+            f"{state.entry.identity} {state.limit.turn_at(now)}",
+            limits.requests_at_once(rate),
+        )
+        if not part.own:
+            return limits.pause_of(rate)
+        window = limits.window_of(rate, part)
+        return state.sends.wait(part.own, window, now)
+
+    def wait_for_room(self, service: str, now: float) -> float | None:
+        """Returns the seconds until some server's limit has room.
+
+        None where one has room now, or where no server is limited: then
+        something else keeps requests from them, if anything does.
+        """
+        waits = [
+            self._limit_wait(each, now) for each in self._open(service, now)
+        ]
+        if 0.0 in waits:
+            return None
+        return min(waits, default=None)
+
     def _replace(
         self,
         known: server_lib.ServerState | None,
@@ -258,6 +289,14 @@
         self, service: str, now: float
     ) -> Iterator[server_lib.ServerState]:
         """Yields the servers of a service that may get new work at all."""
+        for each in self._open(service, now):
+            if not self._limit_wait(each, now):
+                yield each
+
+    def _open(
+        self, service: str, now: float
+    ) -> Iterator[server_lib.ServerState]:
+        """Yields those that may get work as far as their limits allow."""
         for each in self._by_service.get(service, {}).values():
             if each.is_gone(now) or each.entry.zone in self.evacuated:
                 continue
--- a/src/hoistmoor/relay/peers/answers.py
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from hoistmoor.core.relay.servers import limit_words
 from hoistmoor.relay.peers import peer_codec
 from hoistmoor.relay.peers import suspect_exchange
 
@@ -52,7 +53,9 @@
         rollouts.take_ages(asked.order_ages, now)
         outstanding = self._state.outstanding
         outstanding.take(asked.host, asked.work, now)
-        own = self._state.router.fleet.own_work()
+        fleet = self._state.router.fleet
+        own = fleet.own_work()
+        self._state.take_limits(asked.limits, now)
         return peer_codec.CopyAnswer(
             self._state.depth,
             copies,
@@ -60,6 +63,7 @@
             self._state.look_for_doubts(asked.doubts),
             rollouts.ages(now),
             self._exchange_suspects(asked.suspects),
+            limit_words.told_by(fleet, now),
         )
 
     def _exchange_suspects(
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -9,6 +9,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.versions import evidence as evidence_lib
@@ -60,6 +61,7 @@
         doubts: Numbers of roll-out orders whose targets are taken for bad.
         order_ages: Seconds since each roll-out order was seen, by its number.
         suspects: What is held against requests.
+        limits: What servers last said of their limits.
     """
 
     offsets: dict[str, int | None]
@@ -69,6 +71,7 @@
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
     suspects: SuspectNews = attrs.field(factory=SuspectNews)
+    limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -82,6 +85,7 @@
         doubts: Numbers of roll-out orders whose targets are taken for bad.
         order_ages: Seconds since each roll-out order was seen, by its number.
         suspects: What is held against requests.
+        limits: What servers last said of their limits.
     """
 
     depth: int
@@ -90,6 +94,7 @@
     doubts: tuple[int, ...] = ()
     order_ages: dict[int, float] = attrs.field(factory=dict)
     suspects: SuspectNews = attrs.field(factory=SuspectNews)
+    limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
 
     def age(self, names: frozenset[str]) -> float:
         """Returns the age of the oldest of some topics, in seconds."""
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core.relay.beliefs import reading
+from hoistmoor.core.relay.servers import limit_words
 from hoistmoor.relay.peers import peer_codec
 from hoistmoor.relay.peers import suspect_exchange
 from hoistmoor.relay.store import follower as follower_lib
@@ -212,6 +213,7 @@
             self._state.look_for_doubts(),
             self._state.router.rollouts.ages(self._state.clock()),
             self._suspects.question(host.name),
+            limit_words.told_by(self._state.router.fleet, self._state.clock()),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -220,6 +222,7 @@
             return False
         self._sources.note_answered(host.name)
         self._suspects.take(host.name, asked.suspects, answer.suspects)
+        self._state.take_limits(answer.limits, sent_at)
         self._some_answered = True
         self._promising |= reading.is_worth_a_wait(
             self._listing.host.link,
--- a/src/hoistmoor/relay/records.py
+++ b/src/hoistmoor/relay/records.py
@@ -11,6 +11,7 @@
 import cattrs
 import orjson
 
+from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
 
 # Values kept compressed: a host sends the same few to all that ask it. A
@@ -34,11 +35,21 @@
     return outstanding.ServerWork(float(work), int(requests))
 
 
+def _read_limit(
+    fields: tuple[float | None, int, float], _: object
+) -> limits.LimitWord:
+    rate, turn, age = fields
+    known = None if rate is None else float(rate)
+    return limits.LimitWord(known, int(turn), float(age))
+
+
 def _make_converter() -> cattrs.Converter:
     made = cattrs.Converter()
     # Two numbers a server: a thousand of them are told three times a second.
     made.register_unstructure_hook(outstanding.ServerWork, attrs.astuple)
     made.register_structure_hook(outstanding.ServerWork, _read_work)
+    made.register_unstructure_hook(limits.LimitWord, attrs.astuple)
+    made.register_structure_hook(limits.LimitWord, _read_limit)
     made.register_unstructure_hook(bytes, _pack)
     made.register_structure_hook(bytes, _unpack)
     return made
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -11,6 +11,7 @@
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import limit_words
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
@@ -111,17 +112,30 @@
         else:
             is_news = is_success and server.limit.note_unnamed(sent_at, now)
         if is_news:
-            self._log_limit(server, before)
+            self._note_limit(limit_words.LimitNews(server, before), told=False)
 
-    def _log_limit(
-        self, server: server_lib.ServerState, before: float | None
-    ) -> None:
+    def take_limits(self, words: limit_words.LimitWords, now: float) -> None:
+        """Takes what another host says of servers' limits.
+
+        Args:
+            words: By the server's identity.
+            now: Steady time at which their ages are counted.
+        """
+        for news in limit_words.take(self.router.fleet, words, now):
+            self._note_limit(news, told=True)
+
+    def _note_limit(self, news: limit_words.LimitNews, *, told: bool) -> None:
+        """Writes a change of a limit; has its begin and end told at once."""
+        server = news.server
+        if news.before is None or server.limit.rate is None:
+            self.has_urgent_news.set()
         self.believe(
             "server_limit",
             server=server.entry.server_id,
             service=server.entry.service,
             limit=server.limit.rate,
-            before=before,
+            before=news.before,
+            told=told,
             in_flight=server.in_flight,
         )
 
--- a/tests/relay/limited_traffic.py
+++ b/tests/relay/limited_traffic.py
@@ -20,6 +20,7 @@
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.course import requests
 from hoistmoor.core.relay.servers import server as server_lib
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
 FACTOR = 1.5
 SPARE = 5.0
 TOLD_FOR = 0.5
+SUBJECTS = 200  # Starts of prompts, so that all engines are wanted alike.
 FIRST_PART = 0.1  # Seconds until an answer begins.
 WHOLE = 1.0  # Seconds until it has ended.
 
@@ -145,6 +147,11 @@
         await self._swarm.until(self._knows_engines)
         self._start(self._call())
 
+    def most_wanted(self, count: int) -> list[Engine]:
+        """Returns the engines that have got the most requests."""
+        by_demand = sorted(self.engines, key=lambda each: len(each.arrived))
+        return by_demand[-count:]
+
     def _knows_engines(self, member: relay_swarm.Member) -> bool:
         assert member.relay is not None
         return member.relay.state.router.fleet.servers.keys() >= set(
@@ -163,12 +170,26 @@
             if member.relay is not None and member.is_serving:
                 self._start(self._serve(member))
 
+    def _draw_prompt(self) -> requests.Prompt:
+        """Returns a prompt that shares its start with some others."""
+        subject = self._draws.randrange(SUBJECTS)
+        return attrs.evolve(
+            relay_parts.PROMPT,
+            parts=(
+                requests.PromptPart(f"shared{subject}", 500),
+                requests.PromptPart("own", 500),
+            ),
+        )
+
     async def _serve(self, member: relay_swarm.Member) -> None:
         assert member.relay is not None
         state = member.relay.state
         now = state.clock()
         request = relay_parts.request(
-            relay_parts.CHAT, arrived=now, deadline=now + 20.0
+            relay_parts.CHAT,
+            arrived=now,
+            deadline=now + 20.0,
+            prompt=self._draw_prompt(),
         )
         state.router.note_request(request, now)
         machine = machine_lib.RelayMachine(request, state.router)
--- a/tests/relay/test_relay_server_limit.py
+++ b/tests/relay/test_relay_server_limit.py
@@ -17,6 +17,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from typing import TYPE_CHECKING
 
 import limited_traffic
 import pytest
@@ -24,6 +26,12 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Hosts, engines and requests a second: the sizes of the deployments, and the
 # size that is planned for.
 SIZES = {7: (6, 35.0), 84: (60, 300.0), 360: (90, 850.0)}
@@ -63,3 +71,143 @@
             assert_kept(engine, 1.7)
 
     relay_swarm.play(monkeypatch, scenario())
+
+
+def limited_hosts(
+    swarm: relay_swarm.Swarm, engine: limited_traffic.Engine
+) -> list[str]:
+    """Returns the hosts that take an engine for limited."""
+    found = []
+    for member in swarm.members:
+        assert member.relay is not None
+        fleet = member.relay.state.router.fleet
+        if fleet.servers[engine.name].limit.rate is not None:
+            found.append(member.name)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("hosts", "limit"),
+    [(7, 0.3), (7, 1.7), (84, 0.3), (84, 1.7), (360, 1.7)],
+)
+def test_half_of_a_limit_is_used_and_all_of_it_once_it_ends(
+    monkeypatch: pytest.MonkeyPatch, hosts: int, limit: float
+) -> None:
+    async def scenario() -> None:
+        swarm, traffic = await begin_traffic(hosts)
+        clock = asyncio.get_running_loop().time
+        (engine,) = traffic.most_wanted(1)
+        engine.begin_limit(limit)
+        await asyncio.sleep(2.0)
+        begin = clock()
+        await asyncio.sleep(LIMITED_FOR)
+        assert_kept(engine, limit)
+        used = engine.rate_since(begin) / limit
+        assertions.assert_that(used, matchers.GreaterThan(0.5))
+        assertions.assert_that(
+            len(limited_hosts(swarm, engine)), matchers.Equals(hosts)
+        )
+        engine.end_limit()
+        took = await swarm.until(lambda _: not limited_hosts(swarm, engine))
+        # Two hosts share 0.3 a second: each sends one in eight seconds.
+        assertions.assert_that(took, matchers.LessThan(10.0))
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+def hosts_with_old_lists(swarm: relay_swarm.Swarm) -> None:
+    """Each host lacks a fifth of the others, and lists some that have gone."""
+    draws = random.Random(1)
+    listed = [each.name for each in swarm.members]
+    gone = [f"gone{number}" for number in range(len(listed) // 10 + 1)]
+    for member in swarm.members:
+        assert member.relay is not None
+        known = [
+            name
+            for name in listed + gone
+            if name == member.name or draws.random() > 0.2
+        ]
+        member.relay.state.router.fleet.shares.take_hosts(known)
+
+
+def third_of(swarm: relay_swarm.Swarm) -> list[relay_swarm.Member]:
+    draws = random.Random(2)
+    return draws.sample(swarm.members, len(swarm.members) // 3)
+
+
+def third_cut_off(swarm: relay_swarm.Swarm) -> None:
+    """A third hears neither the store nor others, and serves on."""
+    cut = third_of(swarm)
+    swarm.cut_off = frozenset(member.name for member in cut)
+    for member in cut:
+        swarm.store.fault[member.name] = "silent"
+
+
+def third_down(swarm: relay_swarm.Swarm) -> None:
+    """A third has ended, and stays on the lists of the others."""
+    for member in third_of(swarm):
+        member.stop()
+
+
+def all_restarted(swarm: relay_swarm.Swarm) -> None:
+    """All start anew at once and know nothing of limits."""
+    for member in swarm.members:
+        member.stop()
+    for member in swarm.members:
+        member.start()
+
+
+TROUBLES = [hosts_with_old_lists, third_cut_off, third_down, all_restarted]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize(
+    ("hosts", "limit"),
+    [(7, 0.3), (7, 1.7), (7, 30.0), (84, 0.3), (84, 30.0)],
+)
+def test_it_is_kept_where_hosts_know_little(
+    monkeypatch: pytest.MonkeyPatch,
+    hosts: int,
+    limit: float,
+    trouble: Callable[[relay_swarm.Swarm], None],
+) -> None:
+    async def scenario() -> None:
+        swarm, traffic = await begin_traffic(hosts)
+        limited = traffic.most_wanted(2)
+        for engine in limited:
+            engine.begin_limit(limit)
+        await asyncio.sleep(4.0)
+        trouble(swarm)
+        if trouble is all_restarted:
+            for engine in limited:
+                engine.told.clear()
+        await asyncio.sleep(10.0)
+        for engine in limited:
+            assert_kept(engine, limit)
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+def test_where_all_are_limited_the_rest_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        _, traffic = await begin_traffic(7)
+        for engine in traffic.engines:
+            engine.begin_limit(1.7)
+        await asyncio.sleep(LIMITED_FOR)
+        for engine in traffic.engines:
+            assert_kept(engine, 1.7)
+        reasons = {each.reason for each in traffic.refused}
+        assertions.assert_that(
+            reasons, matchers.Equals({refusals.Reason.SERVERS_LIMITED})
+        )
+        outcome = {each.outcome for each in traffic.refused}
+        assertions.assert_that(
+            outcome, matchers.Equals({outcomes.Outcome.NOT_RUN})
+        )
+        waits = [each.retry_after or 0.0 for each in traffic.refused]
+        assertions.assert_that(min(waits), matchers.GreaterThan(0.4))
+        assertions.assert_that(max(waits), matchers.LessThan(5.0))
+
+    relay_swarm.play(monkeypatch, scenario())
