Share among all hosts what they may repeat without any request

Found by looking for the class of the limit's cause: a bound that all hosts owe together, kept by each alone. Now each has its equal part of 0.8 of the operators' slack, three at most; an unlisted host has what it earned. At 7 and 9 hosts with 54 and 58 allowed it stays three. Looked at besides: cold servers (shared by the same hosts), trials (a share of each host's own requests, so of all), the store's calls (one host reads for all), runs of a request in quarantine (told to all), connections to a server (not bounded by the hosts: open).

--- a/src/hoistmoor/core/relay/course/budget.py
+++ b/src/hoistmoor/core/relay/course/budget.py
@@ -1,7 +1,9 @@
 """The budget for sending requests a second time.
 
 Each host earns repeats by the requests that it takes itself, so the shares of
-all hosts add up to less than the bound whichever of them live.
+all hosts add up to less than the bound whichever of them live. What it may
+repeat without any request is its part of what all hosts may: 360 hosts with
+three each would send 1,080 where operators allow 430.
 """
 
 from __future__ import annotations
@@ -14,6 +16,9 @@
 # Part of the operators' ratio that hosts use: their windows do not start at
 # the same moment, and requests and repeats fall into different ones.
 USED_SHARE = 0.8
+# Part of what all hosts may repeat without any request that their parts add up
+# to: the lists of some may lack others.
+SPARE_SHARE = 0.8
 
 
 @attrs.define
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -44,6 +44,8 @@
         repeat_ratio: Repeats for each request to a service.
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats a host may make with no request at all.
+        repeat_slack: Repeats that all hosts together may make so; None if the
+            operators set no bound.
         session_life: Seconds after its last request that a session lives.
         warmup_excess: What cold servers may get beyond their rates.
     """
@@ -51,6 +53,7 @@
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
+    repeat_slack: float | None = None
     session_life: float = 5.0
     warmup_excess: warmup.Excess = attrs.field(factory=warmup.Excess)
 
@@ -128,7 +131,6 @@
         for service in self._services.values():
             service.budget.ratio = bounds.repeat_ratio
             service.budget.window = bounds.repeat_window
-            service.budget.spare = bounds.repeat_spare
 
     def note_request(self, request: requests.RelayRequest, now: float) -> None:
         """Counts a caller's request, which earns its service repeats."""
@@ -139,7 +141,17 @@
 
     def may_repeat(self, request: requests.RelayRequest, now: float) -> bool:
         """Returns whether the budget allows to send the request once more."""
-        return self._service(request.service).budget.allows(now)
+        service = self._service(request.service)
+        service.budget.spare = self._spare_repeats()
+        return service.budget.allows(now)
+
+    def _spare_repeats(self) -> float:
+        """Returns the repeats that this host may make with no request."""
+        bounds = self._bounds
+        if bounds.repeat_slack is None:
+            return bounds.repeat_spare
+        shared = budget.SPARE_SHARE * bounds.repeat_slack
+        return min(bounds.repeat_spare, self.fleet.shares.equal_part(shared))
 
     def pick(
         self,
@@ -388,7 +400,7 @@
                 budget.RepeatBudget(
                     bounds.repeat_ratio,
                     bounds.repeat_window,
-                    bounds.repeat_spare,
+                    self._spare_repeats(),
                 )
             )
             self._services[name] = known
--- a/src/hoistmoor/core/relay/servers/shares.py
+++ b/src/hoistmoor/core/relay/servers/shares.py
@@ -83,6 +83,12 @@
             self._parts[key, requests] = known
         return known
 
+    def equal_part(self, amount: float) -> float:
+        """Returns what is left for each host where all get as much."""
+        if self.own not in self._hosts:
+            return 0.0
+        return amount / len(self._hosts)
+
     def _find(self, key: str, requests: int) -> Part:
         if self.own not in self._hosts or requests < 1:
             return NO_PART
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -55,6 +55,7 @@
         is_revocation_strict=bounds.get("strict_revocation", True),
         stop_timeout=bounds["grace_s"],
         repeat_ratio=bounds["retry_budget_ratio"],
+        repeat_slack=bounds.get("budget_slack"),
         repeat_window=bounds["retry_window_s"],
         session_life=bounds["session_s"],
         warmup_factor=bounds.get("warmup_overshoot", 1.0),
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -212,11 +212,14 @@
 
 def _bounds(settings: settings_lib.RelaySettings) -> router_lib.Bounds:
     return router_lib.Bounds(
-        settings.repeat_ratio,
-        settings.repeat_window,
-        settings.repeat_spare,
-        settings.session_life,
-        warmup.Excess(settings.warmup_factor, settings.warmup_spare),
+        repeat_ratio=settings.repeat_ratio,
+        repeat_window=settings.repeat_window,
+        repeat_spare=settings.repeat_spare,
+        repeat_slack=settings.repeat_slack,
+        session_life=settings.session_life,
+        warmup_excess=warmup.Excess(
+            settings.warmup_factor, settings.warmup_spare
+        ),
     )
 
 
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -24,6 +24,8 @@
         repeat_ratio: Repeats allowed for each request to a service.
         repeat_window: Seconds over which both are counted.
         repeat_spare: Repeats that a host may make without any request.
+        repeat_slack: Repeats that all hosts together may make so; None for no
+            bound.
         session_life: Seconds after its last request that a session lives.
         warmup_factor: Times the rate that a service states for cold servers
             which these may get.
@@ -44,6 +46,7 @@
     repeat_ratio: float = 0.2
     repeat_window: float = 10.0
     repeat_spare: float = 3.0
+    repeat_slack: float | None = None
     session_life: float = 5.0
     warmup_factor: float = 1.0
     warmup_spare: float = 0.0
