Deliver a server's failure where no other server may be asked

Seen by reading, beside the limits: a server's whole 500 was replaced by a refusal of ours (502) where the repeat found no server, which limits make common. Cause: the repeat's refusal went before the answer at hand. Now the answer at hand is delivered (test, red before). Tests besides for what a request does where all servers are limited.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -151,7 +151,11 @@
         self._detail = event.detail or f"status {event.status}"
         self._settle_for_small(event.state)
         if self._may_try_again(event.state, now):
-            return self._send(now, _REASON_BY_STATE[event.state])
+            effect = self._send(now, _REASON_BY_STATE[event.state])
+            # A server's own failure tells a caller more than that no other
+            # server could be asked.
+            if isinstance(effect, messages.Send) or not can_deliver:
+                return effect
         if can_deliver:
             return messages.Deliver()
         return self._give_up(_REASON_BY_STATE[event.state])
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -388,3 +388,76 @@
     assertions.assert_that(
         refusal_of(effect).outcome, matchers.Equals(outcomes.Outcome.UNKNOWN)
     )
+
+
+def limit_all(router: router_lib.Router) -> None:
+    """Has each server name a limit of which this host has no part."""
+    router.fleet.shares.take_hosts(["another"])
+    for server in router.fleet:
+        server.limit.note_named(1.0, NOW)
+
+
+def test_where_all_servers_are_limited_a_request_is_refused_at_once(
+    router: router_lib.Router,
+) -> None:
+    limit_all(router)
+    _, effect = start(router, relay_parts.CONFIRM)
+    refusal = refusal_of(effect)
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.SERVERS_LIMITED)
+    )
+    assertions.assert_that(
+        refusal.outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
+    )
+    # Some other host sends the next one in about a second.
+    assertions.assert_that(
+        refusal.retry_after or 0.0, matchers.GreaterThan(1.0)
+    )
+
+
+def test_one_server_without_a_limit_is_enough(
+    router: router_lib.Router,
+) -> None:
+    limit_all(router)
+    router.fleet.put(relay_parts.entry("free"))
+    _, effect = start(router, relay_parts.CONFIRM)
+    assert isinstance(effect, messages.Send)
+    assertions.assert_that(
+        effect.server.entry.server_id, matchers.Equals("free")
+    )
+
+
+def test_a_repeat_that_finds_all_limited_tells_whether_it_may_have_run(
+    router: router_lib.Router,
+) -> None:
+    machine, _ = start(router, relay_parts.ROUTE)
+    limit_all(router)
+    effect = machine.handle(messages.AttemptEnded(State.SENT), NOW)
+    refusal = refusal_of(effect)
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.BACKEND_CUT)
+    )
+    assertions.assert_that(
+        refusal.outcome, matchers.Equals(outcomes.Outcome.UNKNOWN)
+    )
+
+
+def test_a_failure_is_delivered_where_no_other_server_may_be_asked(
+    router: router_lib.Router,
+) -> None:
+    machine, _ = start(router, relay_parts.ROUTE)
+    limit_all(router)
+    failed = messages.AttemptEnded(State.ANSWERED, 500)
+    assertions.assert_that(
+        machine.handle(failed, NOW), matchers.IsInstance(messages.Deliver)
+    )
+
+
+def test_an_unsure_answer_is_kept_where_no_larger_model_may_be_asked(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.put(relay_parts.entry("e1", service="llm"))
+    machine, _ = start(router, relay_parts.CHAT)
+    limit_all(router)
+    effect = machine.handle(messages.HeadArrived(200, 5.0), NOW)
+    assertions.assert_that(effect, matchers.IsInstance(messages.Pass))
