--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -11,6 +11,7 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.relay.peers import peer_codec
 
@@ -30,6 +31,19 @@
     assertions.assert_that(read, matchers.Equals(written))
 
 
+def test_words_of_limits_are_read_as_they_were_written() -> None:
+    words = {
+        "s1": limits.LimitWord(1.7, 2, 0.4),
+        "s2": limits.LimitWord(None, 0, 3.0),
+    }
+    written = attrs.evolve(answer(None), limits=words)
+    read = peer_codec.decode_answer(peer_codec.encode(written))
+    assertions.assert_that(read.limits, matchers.Equals(words))
+    asked = peer_codec.CopyRequest({}, "h1", limits=words)
+    heard = peer_codec.decode_request(peer_codec.encode(asked))
+    assertions.assert_that(heard.limits, matchers.Equals(words))
+
+
 def test_a_configuration_takes_a_fraction_of_its_size() -> None:
     value = b'{"name":"route","path_prefix":"/a/","kind":"stream"},' * 400
     assertions.assert_that(
