--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -22,6 +22,15 @@
 PAUSE = 0.04  # Seconds between two events.
 CRASH_PATH = "/stream/crash"  # A request that ends whoever runs it.
 WORK = 0.02  # Seconds of a plain request.
+# Of each so many seconds one server names a limit in the first few, and what is
+# no limit in the next one. No request ends the other server of its service, so
+# callers are to be served all the time once all is calm.
+LIMITED = "i-desk-1"
+LIMIT_PERIOD = 8.0
+LIMITED_FOR = 3.0
+UNREADABLE_FOR = 1.0
+LIMIT = "4.5"
+NO_LIMIT = "soon"
 
 _HEADERS = "Hoistmoor-Request-Id", "Hoistmoor-Tenant", "Hoistmoor-Deadline-Ms"
 
@@ -36,6 +45,18 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
+def limit_headers(server_id: str, now: float) -> dict[str, str]:
+    """Returns what a server names as its limit, if anything."""
+    if server_id != LIMITED:
+        return {}
+    phase = now % LIMIT_PERIOD
+    if phase < LIMITED_FOR:
+        return {"Server-Limit": LIMIT}
+    if phase < LIMITED_FOR + UNREADABLE_FOR:
+        return {"Server-Limit": NO_LIMIT}
+    return {}
+
+
 class Backend:
     """Runs requests and tells each on standard output."""
 
@@ -58,6 +79,7 @@
             "Hoistmoor-Request-Id": request_id,
             "Hoistmoor-Response-Signature": "soak",
             "Hoistmoor-Instance-Load": "1,0,8",
+            **limit_headers(self.server_id, time.monotonic()),
         }
         if request.path.startswith("/stream/"):
             return await self._stream(request, request_id, headers)
