Keep a session on its version while that version's servers are limited

By reading: the versions that a request may have were those with room at that moment, so a session's requests would have changed version to and fro with the limits of both. Cause: room decides who gets a request, and stood in for which versions there are. Ruled out: requests without a session (they may go to either, and do, so that no trial refuses anybody). Test, red before.

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -173,9 +173,14 @@
             now: Steady time.
         """
         service = request.service
+        # A session keeps its version where all servers of that have named
+        # limits: it would change to and fro with the room that these have.
+        find_versions = (
+            self.fleet.open_versions if request.session else self.fleet.versions
+        )
         allowed = self.rollouts.choose(
             service,
-            self.fleet.versions(service, now),
+            find_versions(service, now),
             request.session,
             failed,
             now,
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -285,6 +285,10 @@
         """Returns the versions of a service's servers that may get work."""
         return {each.entry.version for each in self._usable(service, now)}
 
+    def open_versions(self, service: str, now: float) -> set[str]:
+        """Returns those that may get some as far as limits allow."""
+        return {each.entry.version for each in self._open(service, now)}
+
     def _usable(
         self, service: str, now: float
     ) -> Iterator[server_lib.ServerState]:
--- a/src/hoistmoor/core/relay/servers/limit_words.py
+++ b/src/hoistmoor/core/relay/servers/limit_words.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class LimitNews:
-    """A change that another host told.
+    """A change of a server's limit.
 
     Attributes:
         server: The server.
--- a/tests/core/relay/placement/test_relay_placement.py
+++ b/tests/core/relay/placement/test_relay_placement.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.routing import hashing
 
 NOW = 100.0
@@ -269,3 +270,27 @@
         paces.note(key, usual)
     assertions.assert_that(paces.is_slow(key, usual, 3.5), matchers.Is(False))
     assertions.assert_that(paces.is_slow(key, slow, 3.5), matchers.Is(True))
+
+
+def test_a_session_keeps_its_version_where_its_servers_are_limited(
+    router: router_lib.Router,
+) -> None:
+    # By reading: with the new version's servers limited, each request of a
+    # session went to whichever version had room at that moment.
+    new = relay_parts.entry("n1", version="v2")
+    router.fleet.put(new)
+    router.fleet.shares.take_hosts(["another"])
+    router.fleet.servers["n1"].limit.note_named(1.0, NOW)
+    order = phases.Order("desk", "v2", 10.0, 1)
+    router.rollouts.take_order(order, NOW)
+    router.rollouts.take_phase(
+        phases.PhaseRecord("desk", "v2", 1, phases.Phase.SPREAD)
+    )
+    for session, expected in (("s", None), ("", "v1")):
+        request = relay_parts.request(session=session)
+        work_class = router.class_of(request, "")
+        found = router.pick(
+            request, "", work_class, frozenset(), frozenset(), NOW
+        )
+        version = found.entry.version if found else None
+        assertions.assert_that(version, matchers.Equals(expected))
