--- a/benchmarks/warmup.py
+++ b/benchmarks/warmup.py
@@ -143,8 +143,13 @@
         for hosts in HOSTS:
             for may in (unbound, by_number, by_rendezvous, by_time):
                 plays = [play(may, hosts, trouble, seed) for seed in SEEDS]
-                [most_in_a_second(each) for each in plays]
-                statistics.fmean(len(each) for each in plays) / COLD
+                most = [most_in_a_second(each) for each in plays]
+                rate = statistics.fmean(len(each) for each in plays) / COLD
+                print(  # noqa: T201
+                    f"{trouble.name:28} {hosts:4} hosts {may.__name__:14}"
+                    f" most {statistics.fmean(most):6.1f} {max(most):4}"
+                    f" rate {rate:5.1f}"
+                )
 
 
 if __name__ == "__main__":
