--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import room as room_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
@@ -59,6 +59,7 @@
         self.servers: dict[str, server_lib.ServerState] = {}
         self.warmups = warmup_lib.Warmups()
         self.shares = shares_lib.HostShares(own)
+        self._room = room_lib.Room(self.warmups, self.shares)
         self.evacuated: frozenset[str] = frozenset()
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
         # Last entries of servers that went, oldest first.
@@ -135,34 +136,6 @@
         if warmup is not None:
             state.doubted_until = now + warmup.duration * (1.0 + draw)
 
-    def _has_share(self, state: server_lib.ServerState, now: float) -> bool:
-        """Returns whether this host may send one more to a cold server."""
-        entry = state.entry
-        warmup = self.warmups.of(entry.service)
-        if warmup is None:
-            return True  # It is slow for a while, and may be used as any.
-        part = self.shares.part_of(entry.identity, warmup.shared)
-        if not part.own:
-            return False
-        return not state.sends.wait(part.own, warmup_lib.WINDOW, now)
-
-    def _limit_wait(self, state: server_lib.ServerState, now: float) -> float:
-        """Returns the seconds until a server's limit has room for one more.
-
-        Where this host is none of those that send to it, some other one has.
-        """
-        rate = state.limit.rate
-        if rate is None:
-            return 0.0
-        part = self.shares.part_of(
-            f"{state.entry.identity} {state.limit.turn_at(now)}",
-            limits.requests_at_once(rate),
-        )
-        if not part.own:
-            return limits.pause_of(rate)
-        window = limits.window_of(rate, part)
-        return state.sends.wait(part.own, window, now)
-
     def wait_for_room(self, service: str, now: float) -> float | None:
         """Returns the seconds until some server's limit has room.
 
@@ -170,7 +143,8 @@
         something else keeps requests from them, if anything does.
         """
         waits = [
-            self._limit_wait(each, now) for each in self._open(service, now)
+            self._room.wait_for_limit(each, now)
+            for each in self._open_servers(service, now)
         ]
         if 0.0 in waits:
             return None
@@ -273,7 +247,7 @@
         tried = [
             each
             for each in pool
-            if now >= each.doubted_until or self._has_share(each, now)
+            if now >= each.doubted_until or self._room.has_for_cold(each, now)
         ]
         pool = tried or pool
         for each in pool:
@@ -287,23 +261,23 @@
 
     def open_versions(self, service: str, now: float) -> set[str]:
         """Returns those that may get some as far as limits allow."""
-        return {each.entry.version for each in self._open(service, now)}
+        return {each.entry.version for each in self._open_servers(service, now)}
 
     def _usable(
         self, service: str, now: float
     ) -> Iterator[server_lib.ServerState]:
         """Yields the servers of a service that may get new work at all."""
-        for each in self._open(service, now):
-            if not self._limit_wait(each, now):
+        for each in self._open_servers(service, now):
+            if not self._room.wait_for_limit(each, now):
                 yield each
 
-    def _open(
+    def _open_servers(
         self, service: str, now: float
     ) -> Iterator[server_lib.ServerState]:
         """Yields those that may get work as far as their limits allow."""
         for each in self._by_service.get(service, {}).values():
             if each.is_gone(now) or each.entry.zone in self.evacuated:
                 continue
-            if now < each.cold_until and not self._has_share(each, now):
+            if now < each.cold_until and not self._room.has_for_cold(each, now):
                 continue
             yield each
