--- a/tests/relay/test_relay_server_limit.py
+++ b/tests/relay/test_relay_server_limit.py
@@ -163,7 +163,7 @@
 @pytest.mark.parametrize("trouble", TROUBLES)
 @pytest.mark.parametrize(
     ("hosts", "limit"),
-    [(7, 0.3), (7, 1.7), (7, 30.0), (84, 0.3), (84, 30.0)],
+    [(7, 0.3), (7, 1.7), (7, 30.0), (84, 0.3), (84, 30.0), (360, 0.3)],
 )
 def test_it_is_kept_where_hosts_know_little(
     monkeypatch: pytest.MonkeyPatch,
