Look for room at limited servers only where it decides

Found on reading the whole change: each head of a small model's answer made a pass over all servers of its service, also where the answer was sure, and the pass went on after a server with room was found. Now it comes last, and ends with the first such server. Ruled out: keeping the answer between heads (room changes with each send). Behaviour stays; tests as they were.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -121,8 +121,6 @@
             return None
         if self._runs + 1 >= request.route.max_attempts:
             return None
-        if self._router.wait_for_room(request, now) is not None:
-            return None  # Nobody could give the better one.
         largest = request.route.sizes[-1] if request.route.sizes else ""
         better = cascade.next_size(
             request.route.sizes,
@@ -133,6 +131,8 @@
         )
         if better is None or not self._router.may_repeat(request, now):
             return None
+        if self._router.wait_for_room(request, now) is not None:
+            return None  # Nobody could give the better one.
         return better
 
     @_on.register
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -142,13 +142,13 @@
         None where one has room now, or where no server is limited: then
         something else keeps requests from them, if anything does.
         """
-        waits = [
-            self._room.wait_for_limit(each, now)
-            for each in self._open_servers(service, now)
-        ]
-        if 0.0 in waits:
-            return None
-        return min(waits, default=None)
+        shortest = None
+        for each in self._open_servers(service, now):
+            wait = self._room.wait_for_limit(each, now)
+            if not wait:
+                return None
+            shortest = wait if shortest is None else min(shortest, wait)
+        return shortest
 
     def _replace(
         self,
