Read and believe what a server says of itself in one place each

header_names holds names only; server_reports makes one typed report of an answer's head, header_values reads the other values. Beliefs that follow are modules of their own: loads, limits; server_beliefs (relay) takes reports and other hosts' words and writes each change. core/relay/servers/access is one table of what may keep a request from a server and for how long; fleet, router and machine ask it in place of wait_for_room, open_versions and the conditions of the fleet.

Behaviour is as it was, but for one case: a small model's answer is kept also where something else than limits keeps all servers from getting a request.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.course import retry_after
+from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import runs
 
 if TYPE_CHECKING:
@@ -131,7 +132,7 @@
         )
         if better is None or not self._router.may_repeat(request, now):
             return None
-        if self._router.wait_for_room(request, now) is not None:
+        if self._router.outlook(request, now) is not None:
             return None  # Nobody could give the better one.
         return better
 
@@ -285,14 +286,14 @@
         Where all servers have named limits it is refused at once: to wait for
         room here would only let others wait behind it.
         """
-        wait = self._router.wait_for_room(self.request, now)
-        if wait is None:
+        outlook = self._router.outlook(self.request, now)
+        if outlook is None or outlook.bar is not access.Bar.LIMITED:
             self._detail = self._detail or "no backend server is ready"
             return self._give_up(reason)
         if reason is refusals.Reason.NO_CAPACITY:
             reason = refusals.Reason.SERVERS_LIMITED
         self._detail = self._detail or "each backend server has named a limit"
-        return self._give_up(reason, max(wait, retry_after.FOR_ROOM))
+        return self._give_up(reason, max(outlook.wait, retry_after.FOR_ROOM))
 
     def _refuse_quarantined(self, now: float) -> messages.Effect:
         self._detail = "servers that ran this request have crashed"
--- a/src/hoistmoor/core/relay/placement/placement.py
+++ b/src/hoistmoor/core/relay/placement/placement.py
@@ -148,4 +148,4 @@
     far = FAR_BIAS if server.entry.zone != zone else 0.0
     noise = TIE_NOISE * draws.below(_DRAWS) / _DRAWS
     pace = max(1.0, server.health.pace)
-    return server.load(now) * pace + far + noise
+    return server.fullness(now) * pace + far + noise
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.course import budget
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
@@ -173,14 +174,12 @@
             now: Steady time.
         """
         service = request.service
-        # A session keeps its version where all servers of that have named
-        # limits: it would change to and fro with the room that these have.
-        find_versions = (
-            self.fleet.open_versions if request.session else self.fleet.versions
-        )
+        # A session would change its version to and fro with what bars all
+        # servers of that for a moment.
+        besides = access.SHORT if request.session else frozenset()
         allowed = self.rollouts.choose(
             service,
-            find_versions(service, now),
+            self.fleet.versions(service, now, besides),
             request.session,
             failed,
             now,
@@ -199,15 +198,11 @@
             now,
         )
 
-    def wait_for_room(
+    def outlook(
         self, request: requests.RelayRequest, now: float
-    ) -> float | None:
-        """Returns the seconds until some server's limit has room for it.
-
-        None unless the limits that servers have named are what keeps it from
-        all of them.
-        """
-        return self.fleet.wait_for_room(request.service, now)
+    ) -> access.Outlook | None:
+        """Returns when the first server may get a request; None for now."""
+        return self.fleet.outlook(request.service, now)
 
     def class_of(
         self, request: requests.RelayRequest, model: str
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hoistmoor.core.relay.servers import access as access_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import room as room_lib
 from hoistmoor.core.relay.servers import server as server_lib
@@ -11,7 +12,7 @@
 from hoistmoor.core.relay.servers import warmup as warmup_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterator
+    from collections.abc import Container, Iterable, Iterator
 
 # Seconds after which the other hosts' own word of their work counts no more.
 WORK_LIFE = 2.0
@@ -45,7 +46,7 @@
 
     Attributes:
         servers: By id.
-        evacuated: Failure domains whose servers get no new work.
+        access: Whether a server may get a request now.
         warmups: How servers warm up.
         shares: This host's part of what all hosts may send to one server.
     """
@@ -60,11 +61,16 @@
         self.warmups = warmup_lib.Warmups()
         self.shares = shares_lib.HostShares(own)
         self._room = room_lib.Room(self.warmups, self.shares)
-        self.evacuated: frozenset[str] = frozenset()
+        self.access = access_lib.Access(self._room)
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
         # Last entries of servers that went, oldest first.
         self._removed: dict[str, server_lib.ServerEntry] = {}
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose servers get no new work."""
+        return self.access.evacuated
+
     def __iter__(self) -> Iterator[server_lib.ServerState]:
         """Yields all servers."""
         return iter(tuple(self.servers.values()))
@@ -112,8 +118,8 @@
         Where that ends, servers count as cold until they certainly are not:
         their own word of it comes a heartbeat later.
         """
-        ended = self.evacuated - zones
-        self.evacuated = zones
+        ended = self.access.evacuated - zones
+        self.access.evacuated = zones
         for each in self:
             warmup = self.warmups.of(each.entry.service)
             if warmup is not None and each.entry.zone in ended:
@@ -136,19 +142,13 @@
         if warmup is not None:
             state.doubted_until = now + warmup.duration * (1.0 + draw)
 
-    def wait_for_room(self, service: str, now: float) -> float | None:
-        """Returns the seconds until some server's limit has room.
+    def outlook(self, service: str, now: float) -> access_lib.Outlook | None:
+        """Returns when a service's first server may get a request.
 
-        None where one has room now, or where no server is limited: then
-        something else keeps requests from them, if anything does.
+        None where one may get it now: then something else keeps requests from
+        it, if anything does.
         """
-        shortest = None
-        for each in self._open_servers(service, now):
-            wait = self._room.wait_for_limit(each, now)
-            if not wait:
-                return None
-            shortest = wait if shortest is None else min(shortest, wait)
-        return shortest
+        return self.access.outlook(self._servers_of(service), now)
 
     def _replace(
         self,
@@ -238,9 +238,10 @@
         """
         pool = [
             each
-            for each in self._usable(service, now)
+            for each in self._servers_of(service)
             if each.entry.version in versions
             and each.entry.identity not in excluded
+            and self.access.may_get(each, now)
         ]
         # While others are left, a server that may come back cold is tried by
         # those hosts alone that may send to cold ones.
@@ -255,29 +256,24 @@
         sound = [each for each in pool if not each.health.is_resting]
         return sound if len(sound) >= len(pool) * MAX_RESTING else pool
 
-    def versions(self, service: str, now: float) -> set[str]:
-        """Returns the versions of a service's servers that may get work."""
-        return {each.entry.version for each in self._usable(service, now)}
-
-    def open_versions(self, service: str, now: float) -> set[str]:
-        """Returns those that may get some as far as limits allow."""
-        return {each.entry.version for each in self._open_servers(service, now)}
-
-    def _usable(
-        self, service: str, now: float
-    ) -> Iterator[server_lib.ServerState]:
-        """Yields the servers of a service that may get new work at all."""
-        for each in self._open_servers(service, now):
-            if not self._room.wait_for_limit(each, now):
-                yield each
-
-    def _open_servers(
-        self, service: str, now: float
-    ) -> Iterator[server_lib.ServerState]:
-        """Yields those that may get work as far as their limits allow."""
-        for each in self._by_service.get(service, {}).values():
-            if each.is_gone(now) or each.entry.zone in self.evacuated:
-                continue
-            if now < each.cold_until and not self._room.has_for_cold(each, now):
-                continue
-            yield each
+    def versions(
+        self,
+        service: str,
+        now: float,
+        besides: Container[access_lib.Bar] = (),
+    ) -> set[str]:
+        """Returns the versions of a service's servers that may get work.
+
+        Args:
+            service: The service.
+            now: Steady time.
+            besides: What does not count that keeps work from servers.
+        """
+        return {
+            each.entry.version
+            for each in self._servers_of(service)
+            if self.access.may_get(each, now, besides)
+        }
+
+    def _servers_of(self, service: str) -> Iterable[server_lib.ServerState]:
+        return self._by_service.get(service, {}).values()
--- a/src/hoistmoor/core/relay/servers/room.py
+++ b/src/hoistmoor/core/relay/servers/room.py
@@ -31,6 +31,15 @@
     warmups: warmup_lib.Warmups
     shares: shares_lib.HostShares
 
+    def wait_for_cold(self, state: server_lib.ServerState, now: float) -> float:
+        """Returns the seconds until a cold server has room for one more.
+
+        Where this host is none of those that send to it, some other one has.
+        """
+        if now >= state.cold_until or self.has_for_cold(state, now):
+            return 0.0
+        return state.cold_until - now
+
     def has_for_cold(self, state: server_lib.ServerState, now: float) -> bool:
         """Returns whether this host may send one more to a cold server."""
         entry = state.entry
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -1,20 +1,16 @@
-"""One backend server: what it tells of itself, and what this host knows of it.
-
-Reported load is old when it arrives and many hosts read the same report, so
-the work that this host itself has under way is added to what others have.
-"""
+"""One start of a backend server, and what this host knows of it."""
 
 from __future__ import annotations
 
 import attrs
 
 from hoistmoor.core.relay.servers import limits as limits_lib
+from hoistmoor.core.relay.servers import loads
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.routing import health as health_lib
 
-LOAD_LIFE = 3.0  # Seconds after which a reported load counts no more.
 WORK_STEP = 0.1  # Weight of the newest request in a server's mean work.
 
 
@@ -76,38 +72,6 @@
         return (self.born, self.sequence) < (other.born, other.sequence)
 
 
-@attrs.frozen
-class LoadReport:
-    """Load that a server told with an answer.
-
-    Attributes:
-        running: Requests that it worked on.
-        waiting: Requests in its queue.
-        slots: Requests that it works on at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@attrs.frozen
-class ServerReport:
-    """What a server told of itself with an answer.
-
-    Attributes:
-        load: Its load; None if it told none that can be read.
-        limit: Requests a second that it takes from all hosts together; None
-            if it named none that can be read.
-        unreadable_limit: What it named in place of a limit; empty if it named
-            one or nothing.
-    """
-
-    load: LoadReport | None = None
-    limit: float | None = None
-    unreadable_limit: str = ""
-
-
 @attrs.define(eq=False)
 class ServerState:
     """One backend server and what this host knows of it.
@@ -119,8 +83,7 @@
         work: Work of these for an engine, in prompt tokens.
         mean_work: Usual work of a request that it got from this host; 0
             before the first.
-        others: Requests of other hosts that it had when it last told.
-        others_at: When it last told.
+        load: What it last told of its load.
         told: What other hosts have under way at it, as these told.
         told_until: Until when that counts.
         lapsed_until: Until when it is kept though its entry went away in
@@ -134,7 +97,8 @@
         runs: This host's requests that it may be at.
         has_ended: Whether this start of it is over, as this host found.
         limit: What it takes from all hosts together.
-        unreadable_limit: What it last named in place of a limit.
+        unreadable: What it last said that cannot be read, by the word that
+            it should be.
     """
 
     entry: ServerEntry
@@ -142,8 +106,7 @@
     in_flight: int = 0
     work: float = 0.0
     mean_work: float = 0.0
-    others: int = 0
-    others_at: float = float("-inf")
+    load: loads.LoadBelief = attrs.field(factory=loads.LoadBelief)
     told: outstanding.ServerWork = outstanding.NOTHING
     told_until: float = float("-inf")
     lapsed_until: float | None = None
@@ -154,26 +117,22 @@
     runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
     has_ended: bool = False
     limit: limits_lib.LimitBelief = attrs.field(factory=limits_lib.LimitBelief)
-    unreadable_limit: str = ""
+    unreadable: dict[str, str] = attrs.field(factory=dict)
 
     def is_gone(self, now: float) -> bool:
         """Returns whether it must get no new work."""
         is_over = self.lapsed_until is not None and now >= self.lapsed_until
         return self.entry.is_leaving or is_over or now < self.absent_until
 
-    def others_now(self, now: float) -> int:
-        """Returns the requests of other hosts that it probably has."""
-        return self.others if now - self.others_at < LOAD_LIFE else 0
-
-    def load(self, now: float) -> float:
+    def fullness(self, now: float) -> float:
         """Returns its requests as a multiple of its slots."""
-        requests = self.in_flight + self.others_now(now)
+        requests = self.in_flight + self.load.others_now(now)
         return (requests + 1) / max(1, self.entry.slots)
 
     def crowding(self, now: float) -> float:
         """Returns the requests that one more makes, in shares of its slots."""
         is_told = now < self.told_until
-        others = self.told.requests if is_told else self.others_now(now)
+        others = self.told.requests if is_told else self.load.others_now(now)
         return (self.in_flight + others + 1) / self.entry.slots
 
     def waiting_work(self, usual: float, now: float) -> float:
@@ -185,15 +144,9 @@
         """
         if now < self.told_until:
             return self.work + self.told.work
-        return self.work + (self.mean_work or usual) * self.others_now(now)
+        return self.work + (self.mean_work or usual) * self.load.others_now(now)
 
     def note_work(self, work: float) -> None:
         """Takes a request's work into the mean."""
         known = self.mean_work or work
         self.mean_work = known + WORK_STEP * (work - known)
-
-    def take_report(self, report: LoadReport, now: float) -> None:
-        """Notes a load report that came with an answer to this host."""
-        work = report.running + report.waiting
-        self.others = max(0, work - self.in_flight)
-        self.others_at = now
--- a/src/hoistmoor/relay/front/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -11,6 +11,7 @@
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.course import requests
 from hoistmoor.relay.front import header_names
+from hoistmoor.relay.front import header_values
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import configuration as configuration_lib
@@ -123,11 +124,11 @@
         account: configuration_lib.ClientAccount | None,
     ) -> requests.RelayRequest | refusals.Refusal:
         headers, names = head.headers, self._names
-        allowed = header_names.parse_number(headers.get(names.deadline_ms))
+        allowed = header_values.parse_number(headers.get(names.deadline_ms))
         patience = DEFAULT_DEADLINE if allowed is None else allowed / _MS
         if patience <= 0:
             return _refuse(refusals.Reason.DEADLINE_PAST, "no time is left")
-        prompt = header_names.parse_prompt(
+        prompt = header_values.parse_prompt(
             headers.get(names.model),
             headers.get(names.tokens),
             headers.get(names.prefix),
@@ -145,7 +146,9 @@
             prompt=prompt,
             model_costs=described.model_costs if described else {},
             session=headers.get(names.session, ""),
-            last_event=header_names.parse_number(headers.get(names.last_event)),
+            last_event=header_values.parse_number(
+                headers.get(names.last_event)
+            ),
             priority=_priority(route, account),
         )
 
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -2,17 +2,8 @@
 
 from __future__ import annotations
 
-import re
-from typing import TYPE_CHECKING
-
 import attrs
 
-from hoistmoor.core.relay.course import requests
-from hoistmoor.core.relay.servers import server as server_lib
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 # Of one connection only (RFC 9110, 7.6.1), or set anew for each.
 HOP_BY_HOP = frozenset(
     {
@@ -82,74 +73,3 @@
             | self.stripped
             | HOP_BY_HOP
         )
-
-
-# Digits, with a fraction or none; no sign, no exponent, no word for infinity.
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
-LONGEST_SHOWN = 40  # Characters of an unreadable value that are kept.
-
-
-def parse_report(
-    headers: Mapping[str, str], names: HeaderNames
-) -> server_lib.ServerReport:
-    """Returns what a server tells of itself with an answer."""
-    load = parse_load(headers.get(names.load))
-    text = headers.get(names.limit)
-    if text is None:
-        return server_lib.ServerReport(load)
-    if _DECIMAL.fullmatch(text) is None:
-        shown = text[:LONGEST_SHOWN] or "nothing"
-        return server_lib.ServerReport(load, unreadable_limit=shown)
-    return server_lib.ServerReport(load, float(text))
-
-
-def parse_load(text: str | None) -> server_lib.LoadReport | None:
-    """Returns a load report, or None if there is none that can be read."""
-    numbers = _numbers(text)
-    if len(numbers) != 3:
-        return None
-    running, waiting, slots = numbers
-    return server_lib.LoadReport(running, waiting, slots)
-
-
-def parse_confidence(text: str | None) -> float | None:
-    """Returns a confidence, or None if there is none that can be read."""
-    try:
-        return float(text) if text else None
-    except ValueError:
-        return None
-
-
-def parse_prompt(
-    model: str | None, tokens: str | None, parts: str | None
-) -> requests.Prompt | None:
-    """Returns what is told of a prompt; None for other requests."""
-    if model is None:
-        return None
-    numbers = _numbers(tokens)
-    if len(numbers) != 2:
-        numbers = (0, 0)
-    return requests.Prompt(model, numbers[0], numbers[1], _parts(parts))
-
-
-def parse_number(text: str | None) -> int | None:
-    """Returns a whole number, or None if there is none that can be read."""
-    numbers = _numbers(text)
-    return numbers[0] if len(numbers) == 1 else None
-
-
-def _numbers(text: str | None) -> tuple[int, ...]:
-    try:
-        return tuple(int(word) for word in (text or "").split(","))
-    except ValueError:
-        return ()
-
-
-def _parts(text: str | None) -> tuple[requests.PromptPart, ...]:
-    parts = []
-    for word in (text or "").split(","):
-        name, _, size = word.strip().partition(":")
-        if not name or not size.isdigit():
-            return ()
-        parts.append(requests.PromptPart(name, int(size)))
-    return tuple(parts)
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -21,7 +21,9 @@
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import forwarding
 from hoistmoor.relay.front import header_names
+from hoistmoor.relay.front import header_values
 from hoistmoor.relay.front import server_ends
+from hoistmoor.relay.front import server_reports
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -268,7 +270,7 @@
         attempt.head = head
         attempt.send.run.note_head(self._now())
         self._state.router.note_first(self._request, attempt.send, self._now())
-        confidence = header_names.parse_confidence(
+        confidence = header_values.parse_confidence(
             head.headers.get(names.confidence)
         )
         effect = self._machine.handle(
@@ -285,9 +287,9 @@
         if head.status in self._links.dialect.not_run_statuses:
             return
         names = self._links.names
-        self._state.take_report(
+        self._state.server_beliefs.take_report(
             attempt.send.server,
-            header_names.parse_report(head.headers, names),
+            server_reports.parse_report(head.headers, names),
             attempt.started,
             is_success=head.status < 300 and names.signature in head.headers,
         )
--- a/src/hoistmoor/relay/peers/answers.py
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -55,7 +55,7 @@
         outstanding.take(asked.host, asked.work, now)
         fleet = self._state.router.fleet
         own = fleet.own_work()
-        self._state.take_limits(asked.limits, now)
+        self._state.server_beliefs.take_limits(asked.limits, now)
         return peer_codec.CopyAnswer(
             self._state.depth,
             copies,
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -222,7 +222,7 @@
             return False
         self._sources.note_answered(host.name)
         self._suspects.take(host.name, asked.suspects, answer.suspects)
-        self._state.take_limits(answer.limits, sent_at)
+        self._state.server_beliefs.take_limits(answer.limits, sent_at)
         self._some_answered = True
         self._promising |= reading.is_worth_a_wait(
             self._listing.host.link,
--- /dev/null
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -0,0 +1,127 @@
+"""Takes what servers say of themselves, and writes each change of belief.
+
+Two ways lead here: an answer to this host, and another host's word of one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoistmoor.core.relay.servers import limit_words
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+    from hoistmoor.core.relay.servers import fleet as fleet_lib
+    from hoistmoor.core.relay.servers import reports
+    from hoistmoor.core.relay.servers import server as server_lib
+
+
+class ServerBeliefs:
+    """What this host believes of servers by their own word."""
+
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        clock: Callable[[], float],
+        believe: Callable[..., None],
+        has_urgent_news: asyncio.Event,
+    ) -> None:
+        """Makes the beliefs of a host that was told nothing.
+
+        Args:
+            fleet: The servers.
+            clock: Steady time, in seconds.
+            believe: Writes and counts a change, by its kind and fields.
+            has_urgent_news: Set once another host should be told at once.
+        """
+        self._fleet = fleet
+        self._clock = clock
+        self._believe = believe
+        self._has_urgent_news = has_urgent_news
+
+    def take_report(
+        self,
+        server: server_lib.ServerState,
+        report: reports.ServerReport,
+        sent_at: float,
+        *,
+        is_success: bool,
+    ) -> None:
+        """Takes what a server told of itself with an answer to this host.
+
+        Args:
+            server: The server.
+            report: What it told.
+            sent_at: Steady time at which the request was sent.
+            is_success: Whether the server made the answer and it is a success:
+                others may lack what it would name.
+        """
+        if report.load is not None:
+            server.load.note(report.load, server.in_flight, self._clock())
+        for word, text in report.unreadable.items():
+            self._note_unreadable(server, word, text)
+        self._take_limit(server, report, sent_at, is_success=is_success)
+
+    def take_limits(self, words: limit_words.LimitWords, now: float) -> None:
+        """Takes what another host says of servers' limits.
+
+        Args:
+            words: By the server's identity.
+            now: Steady time at which their ages are counted.
+        """
+        for news in limit_words.take(self._fleet, words, now):
+            self._note_limit(news, told=True)
+
+    def _take_limit(
+        self,
+        server: server_lib.ServerState,
+        report: reports.ServerReport,
+        sent_at: float,
+        *,
+        is_success: bool,
+    ) -> None:
+        if "limit" in report.unreadable:
+            return
+        before = server.limit.rate
+        now = self._clock()
+        if report.limit is not None:
+            is_news = server.limit.note_named(report.limit, now)
+        else:
+            is_news = is_success and server.limit.note_unnamed(sent_at, now)
+        if is_news:
+            self._note_limit(limit_words.LimitNews(server, before), told=False)
+
+    def _note_limit(self, news: limit_words.LimitNews, *, told: bool) -> None:
+        """Writes a change of a limit; has its begin and end told at once."""
+        server = news.server
+        if news.before is None or server.limit.rate is None:
+            self._has_urgent_news.set()
+        self._write(
+            "server_limit",
+            server,
+            limit=server.limit.rate,
+            before=news.before,
+            told=told,
+            in_flight=server.in_flight,
+        )
+
+    def _note_unreadable(
+        self, server: server_lib.ServerState, word: str, text: str
+    ) -> None:
+        """Writes it once: it comes with each answer, and changes nothing."""
+        if server.unreadable.get(word) == text:
+            return
+        server.unreadable[word] = text
+        self._write(f"server_{word}_unreadable", server, detail=text)
+
+    def _write(
+        self, kind: str, server: server_lib.ServerState, **fields: object
+    ) -> None:
+        self._believe(
+            kind,
+            server=server.entry.server_id,
+            service=server.entry.service,
+            **fields,
+        )
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -11,13 +11,13 @@
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
-from hoistmoor.core.relay.servers import limit_words
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.relay import counters as counters_lib
 from hoistmoor.relay import event_log
+from hoistmoor.relay import server_beliefs as server_beliefs_lib
 
 
 @attrs.define(eq=False)
@@ -42,6 +42,7 @@
         depth: Hosts between this one and the store.
         started_at: Steady time at which this process began.
         has_urgent_news: Set once another host should be told at once.
+        server_beliefs: Takes what servers say of themselves.
     """
 
     clock: Callable[[], float]
@@ -62,10 +63,14 @@
     depth: int = 0
     started_at: float = attrs.field(init=False)
     has_urgent_news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    server_beliefs: server_beliefs_lib.ServerBeliefs = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Notes the time."""
         self.started_at = self.clock()
+        self.server_beliefs = server_beliefs_lib.ServerBeliefs(
+            self.router.fleet, self.clock, self.believe, self.has_urgent_news
+        )
 
     def believe(self, kind: str, **fields: object) -> None:
         """Writes and counts a change of what this host believes."""
@@ -83,76 +88,6 @@
             detail=str(error),
         )
 
-    def take_report(
-        self,
-        server: server_lib.ServerState,
-        report: server_lib.ServerReport,
-        sent_at: float,
-        *,
-        is_success: bool,
-    ) -> None:
-        """Takes what a server told of itself with an answer to this host.
-
-        Args:
-            server: The server.
-            report: What it told.
-            sent_at: Steady time at which the request was sent.
-            is_success: Whether the server made the answer and it is a success:
-                others may lack what it would name.
-        """
-        now = self.clock()
-        if report.load is not None:
-            server.take_report(report.load, now)
-        if report.unreadable_limit:
-            self._note_unreadable_limit(server, report.unreadable_limit)
-            return
-        before = server.limit.rate
-        if report.limit is not None:
-            is_news = server.limit.note_named(report.limit, now)
-        else:
-            is_news = is_success and server.limit.note_unnamed(sent_at, now)
-        if is_news:
-            self._note_limit(limit_words.LimitNews(server, before), told=False)
-
-    def take_limits(self, words: limit_words.LimitWords, now: float) -> None:
-        """Takes what another host says of servers' limits.
-
-        Args:
-            words: By the server's identity.
-            now: Steady time at which their ages are counted.
-        """
-        for news in limit_words.take(self.router.fleet, words, now):
-            self._note_limit(news, told=True)
-
-    def _note_limit(self, news: limit_words.LimitNews, *, told: bool) -> None:
-        """Writes a change of a limit; has its begin and end told at once."""
-        server = news.server
-        if news.before is None or server.limit.rate is None:
-            self.has_urgent_news.set()
-        self.believe(
-            "server_limit",
-            server=server.entry.server_id,
-            service=server.entry.service,
-            limit=server.limit.rate,
-            before=news.before,
-            told=told,
-            in_flight=server.in_flight,
-        )
-
-    def _note_unreadable_limit(
-        self, server: server_lib.ServerState, text: str
-    ) -> None:
-        """Writes it once: it comes with each answer, and changes nothing."""
-        if server.unreadable_limit == text:
-            return
-        server.unreadable_limit = text
-        self.believe(
-            "server_limit_unreadable",
-            server=server.entry.server_id,
-            service=server.entry.service,
-            detail=text,
-        )
-
     def note_server_end(self, server: server_lib.ServerState) -> None:
         """Notes that a start of a server is over, as this host found."""
         if server.has_ended:
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -24,7 +24,7 @@
     made.put(entry(born=1000, sequence=50))
     state = made.servers["a"]
     state.in_flight, state.work, state.mean_work = 3, 500.0, 100.0
-    state.others, state.others_at = 4, NOW
+    state.load.others, state.load.at = 4, NOW
     state.told = outstanding.ServerWork(70.0, 2)
     state.told_until = NOW + 5.0
     state.health.eject(NOW)
@@ -139,14 +139,14 @@
     made = fleet_lib.Fleet()
     made.put(relay_parts.entry("n", zone="north"))
     made.put(relay_parts.entry("s", zone="south", version="v2"))
-    made.evacuated = frozenset({"north"})
+    made.evacuate(frozenset({"north"}), NOW)
     ready = made.ready("desk", {"v1", "v2"}, (), NOW)
     assertions.assert_that(
         [each.entry.server_id for each in ready], matchers.Equals(["s"])
     )
     # A version that has servers there only is none to choose.
     assertions.assert_that(made.versions("desk", NOW), matchers.Equals({"v2"}))
-    made.evacuated = frozenset({"north", "south"})
+    made.evacuate(frozenset({"north", "south"}), NOW)
     assertions.assert_that(
         made.ready("desk", {"v1", "v2"}, (), NOW), matchers.Equals([])
     )
--- a/tests/core/relay/servers/test_relay_outstanding.py
+++ b/tests/core/relay/servers/test_relay_outstanding.py
@@ -103,7 +103,7 @@
     fleet = fleet_lib.Fleet()
     fleet.put(relay_parts.entry("a"))
     state = fleet.servers["a"]
-    state.others, state.others_at = 3, NOW
+    state.load.others, state.load.at = 3, NOW
     fleet.take_others_work(works(a=500.0), NOW)
     state.work = 20.0
     assertions.assert_that(
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -19,7 +19,8 @@
 from hoistmoor.platform import codec as codec_lib
 from hoistmoor.platform import names
 from hoistmoor.platform import settings
-from hoistmoor.relay.front import header_names
+from hoistmoor.relay.front import header_values
+from hoistmoor.relay.front import server_reports
 
 ROUTE = {
     "name": "r-1",
@@ -305,17 +306,17 @@
 def test_loads_that_cannot_be_read_tell_nothing(
     text: str, expected: tuple[int, int, int] | None
 ) -> None:
-    found = header_names.parse_load(text)
+    found = server_reports.parse_load(text)
     read = (found.running, found.waiting, found.slots) if found else None
     assertions.assert_that(read, matchers.Equals(expected))
 
 
 def test_prompts() -> None:
-    found = header_names.parse_prompt("*", "1460,80", "5c:800,91:410,e4:250")
+    found = header_values.parse_prompt("*", "1460,80", "5c:800,91:410,e4:250")
     assert found is not None
     assertions.assert_that(found.subject, matchers.Equals("91"))
     assertions.assert_that(found.shared_tokens, matchers.Equals(1210))
-    bad = header_names.parse_prompt("*", "x", "no parts")
+    bad = header_values.parse_prompt("*", "x", "no parts")
     assert bad is not None
     assertions.assert_that(bad.parts, matchers.Equals(()))
     request = relay_parts.request(relay_parts.CHAT)
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -8,7 +8,9 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.servers import reports
 from hoistmoor.relay.front import header_names
+from hoistmoor.relay.front import server_reports
 
 if TYPE_CHECKING:
     import asyncio
@@ -25,9 +27,9 @@
     ("text", "limit"), [("1.7", 1.7), ("30", 30.0), (".3", 0.3), ("0", 0.0)]
 )
 def test_a_limit_is_a_decimal_number(text: str, limit: float) -> None:
-    report = header_names.parse_report({"X-Server-Limit": text}, NAMES)
+    report = server_reports.parse_report({"X-Server-Limit": text}, NAMES)
     assertions.assert_that(report.limit, matchers.Equals(limit))
-    assertions.assert_that(report.unreadable_limit, matchers.Equals(""))
+    assertions.assert_that(report.unreadable, matchers.Equals({}))
 
 
 @pytest.mark.parametrize(
@@ -36,14 +38,12 @@
 )
 def test_other_texts_are_no_limit(text: str) -> None:
     headers = {"X-Server-Limit": text, "X-Load": "3,0,8"}
-    report = header_names.parse_report(headers, NAMES)
+    report = server_reports.parse_report(headers, NAMES)
     assertions.assert_that(report.limit, matchers.Is(None))
+    shown = report.unreadable[reports.Word.LIMIT]
+    assertions.assert_that(shown, matchers.Not(matchers.Equals("")))
     assertions.assert_that(
-        report.unreadable_limit, matchers.Not(matchers.Is(""))
-    )
-    assertions.assert_that(
-        len(report.unreadable_limit),
-        matchers.LessThan(header_names.LONGEST_SHOWN + 1),
+        len(shown), matchers.LessThan(server_reports.LONGEST_SHOWN + 1)
     )
     assert report.load is not None
     assertions.assert_that(report.load.running, matchers.Equals(3))
--- a/tests/relay/limited_traffic.py
+++ b/tests/relay/limited_traffic.py
@@ -21,7 +21,7 @@
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.course import requests
-from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import reports
 
 if TYPE_CHECKING:
     from hoistmoor.core import refusals
@@ -202,9 +202,9 @@
         await asyncio.sleep(relay_swarm.LATENCY)
         engine.take(member.name)
         await asyncio.sleep(FIRST_PART)
-        state.take_report(
+        state.server_beliefs.take_report(
             effect.server,
-            server_lib.ServerReport(limit=engine.tell(member.name)),
+            reports.ServerReport(limit=engine.tell(member.name)),
             now,
             is_success=True,
         )
