Log and count what servers say of their end and of rest

Now an answer's Server-Leaving and the Retry-After of a 503 are read into the report, believed by server and start, written (server_leaves, server_rests, ..._unreadable once a value) and shown in each attempt that is sent all the same; sends_despite_total{word} counts these and replaces limited_sends_total. No decision asks the two beliefs yet.

--- a/src/hoistmoor/clients/exchange.py
+++ b/src/hoistmoor/clients/exchange.py
@@ -13,6 +13,7 @@
 import aiohttp
 import attrs
 from multidict import CIMultiDict
+from multidict import MultiMapping
 import yarl
 
 from hoistmoor.clients import answer_body
@@ -84,7 +85,7 @@
     """
 
     status: int
-    headers: Mapping[str, str]
+    headers: MultiMapping[str]
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/hoistmoor/core/relay/servers/departures.py
@@ -0,0 +1,33 @@
+"""That a start of a backend server leaves, by its own word.
+
+A server that is about to end says so in its answers, at times long before the
+store lists it as leaving. What it says holds for that start of it, for good:
+whatever the store says later was said before, or by nobody.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define
+class DepartureBelief:
+    """What this host believes of one start of a server.
+
+    Attributes:
+        said_at: Steady time of the answer, to whichever host, that said so
+            first; None while none did.
+    """
+
+    said_at: float | None = None
+
+    def note(self, at: float) -> bool:
+        """Notes that an answer said so; returns whether that is news.
+
+        Args:
+            at: Steady time of the answer.
+        """
+        is_news = self.said_at is None
+        if self.said_at is None or at < self.said_at:
+            self.said_at = at
+        return is_news
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import departures
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import loads
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.routing import health as health_lib
@@ -97,6 +99,8 @@
         runs: This host's requests that it may be at.
         has_ended: Whether this start of it is over, as this host found.
         limit: What it takes from all hosts together.
+        departure: Whether it has said that it leaves.
+        rest: Rest that it has asked of this host.
         unreadable: What it last said that cannot be read, by the word that
             it should be.
     """
@@ -117,6 +121,10 @@
     runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
     has_ended: bool = False
     limit: limits_lib.LimitBelief = attrs.field(factory=limits_lib.LimitBelief)
+    departure: departures.DepartureBelief = attrs.field(
+        factory=departures.DepartureBelief
+    )
+    rest: rests.RestBelief = attrs.field(factory=rests.RestBelief)
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
     def is_gone(self, now: float) -> bool:
--- a/src/hoistmoor/platform/names.py
+++ b/src/hoistmoor/platform/names.py
@@ -17,6 +17,7 @@
     not_run="Hoistmoor-Not-Executed",
     load="Hoistmoor-Instance-Load",
     limit="Server-Limit",
+    leaving="Server-Leaving",
     model="Hoistmoor-Model",
     tokens="Hoistmoor-Token-Usage",
     prefix="Hoistmoor-Prefix-Hash",
--- a/src/hoistmoor/relay/counters.py
+++ b/src/hoistmoor/relay/counters.py
@@ -14,7 +14,8 @@
         registry: All of them.
         answers: Requests by how they ended.
         attempts: Attempts by how their exchange ended.
-        limited_sends: Attempts sent to servers that had named a limit.
+        sends_despite: Attempts sent to servers that had named a limit, said
+            that they leave, or asked for rest, by word.
         beliefs: Changes of what this host believes, by kind.
         durations: Seconds from a request to its final answer.
         configuration_age: Seconds since the configuration was known current.
@@ -34,9 +35,11 @@
             ["state"],
             registry=self.registry,
         )
-        self.limited_sends = prometheus_client.Counter(
-            "hoistmoor_relay_limited_sends",
-            "Attempts sent to servers that had named a limit.",
+        self.sends_despite = prometheus_client.Counter(
+            "hoistmoor_relay_sends_despite",
+            "Attempts sent to servers that had named a limit, said that they"
+            " leave, or asked for rest.",
+            ["word"],
             registry=self.registry,
         )
         self.beliefs = prometheus_client.Counter(
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
+    from hoistmoor.core.relay.servers import server as server_lib
+
 _State = outcomes.ExchangeState
 
 _OUTCOMES = {
@@ -23,6 +25,18 @@
 _FAILED_STATUS = 500  # From here on a status says that the server failed.
 
 
+def words_against(server: server_lib.ServerState, now: float) -> dict[str, str]:
+    """Returns what a server has said against a send, by the kind of word."""
+    words = {}
+    if server.limit.rate is not None:
+        words["limit"] = str(server.limit.rate)
+    if server.departure.said_at is not None:
+        words["leaving"] = f"said {now - server.departure.said_at:.3f}s before"
+    if server.rest.left(now):
+        words["rest"] = f"{server.rest.left(now):.3f}s left"
+    return words
+
+
 @attrs.define
 class Attempt:
     """One attempt at a backend server, and what it has shown so far.
@@ -40,8 +54,8 @@
         is_dropped: Whether it was given up for a larger model's answer.
         is_cut: Whether the connection ended before the answer did.
         detail: What went wrong, for people.
-        limit: Requests a second that its server was known to take from all
-            hosts when it was sent; None for no limit.
+        words: What its server had said against a send when it was sent, by
+            the kind of word.
     """
 
     send: messages.Send
@@ -56,7 +70,7 @@
     is_dropped: bool = False
     is_cut: bool = False
     detail: str = ""
-    limit: float | None = None
+    words: dict[str, str] = attrs.field(factory=dict)
 
     def note_events(self, now: float) -> None:
         """Notes that events of the stream came."""
@@ -134,9 +148,9 @@
     def text(self, state: outcomes.ExchangeState, now: float) -> str:
         """Returns it in one line, for the log."""
         entry = self.send.server.entry
-        limit = "" if self.limit is None else f" limit {self.limit}"
+        words = "".join(f" {word} {text}" for word, text in self.words.items())
         return (
             f"{entry.server_id} {entry.version} {self.send.model}"
             f" {state.name.lower()} {self.status}"
-            f" {now - self.started:.3f}s{self.waits()}{limit} {self.detail}"
+            f" {now - self.started:.3f}s{self.waits()}{words} {self.detail}"
         )
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -36,6 +36,7 @@
         not_run: Says that the server did not run the request.
         load: A server's running and waiting requests, and its slots.
         limit: Requests a second that a server takes from all hosts together.
+        leaving: Says that a server is about to end.
         model: Model asked for.
         tokens: Tokens of the prompt, and new tokens at most.
         prefix: Parts of the prompt, as ``name:tokens`` with commas.
@@ -55,6 +56,7 @@
     not_run: str = "X-Not-Run"
     load: str = "X-Load"
     limit: str = "X-Server-Limit"
+    leaving: str = "X-Server-Leaving"
     model: str = "X-Model"
     tokens: str = "X-Tokens"
     prefix: str = "X-Prompt-Parts"
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -194,15 +194,15 @@
             self._links.dialect,
         )
         self._sequence.begin_run()
-        limit = send.server.limit.rate
-        if limit is not None:
-            self._state.counters.limited_sends.inc()
+        words = attempt_lib.words_against(send.server, now)
+        for word in words:
+            self._state.counters.sends_despite.labels(word).inc()
         return attempt_lib.Attempt(
             send,
             now,
             exchange,
             events_before=self._sequence.events,
-            limit=limit,
+            words=words,
         )
 
     async def _exchange_in_time(
@@ -289,7 +289,7 @@
         names = self._links.names
         self._state.server_beliefs.take_report(
             attempt.send.server,
-            server_reports.parse_report(head.headers, names),
+            server_reports.parse_report(head.status, head.headers, names),
             attempt.started,
             is_success=head.status < 300 and names.signature in head.headers,
         )
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core.relay.servers import limit_words
+from hoistmoor.core.relay.servers import rests
 
 if TYPE_CHECKING:
     import asyncio
@@ -63,6 +64,10 @@
         for word, text in report.unreadable.items():
             self._note_unreadable(server, word, text)
         self._take_limit(server, report, sent_at, is_success=is_success)
+        if report.is_leaving:
+            self._take_leaving(server)
+        if report.rest is not None:
+            self._take_rest(server, report.rest)
 
     def take_limits(self, words: limit_words.LimitWords, now: float) -> None:
         """Takes what another host says of servers' limits.
@@ -74,6 +79,31 @@
         for news in limit_words.take(self._fleet, words, now):
             self._note_limit(news, told=True)
 
+    def _take_leaving(self, server: server_lib.ServerState) -> None:
+        if server.departure.note(self._clock()):
+            self._write(
+                "server_leaves",
+                server,
+                born=server.entry.born,
+                told=False,
+                age=0.0,
+                in_flight=server.in_flight,
+            )
+
+    def _take_rest(
+        self, server: server_lib.ServerState, seconds: float
+    ) -> None:
+        kept = min(seconds, rests.LONGEST)
+        if server.rest.note(kept, self._clock()):
+            self._write(
+                "server_rests",
+                server,
+                born=server.entry.born,
+                asked=seconds,
+                kept=kept,
+                in_flight=server.in_flight,
+            )
+
     def _take_limit(
         self,
         server: server_lib.ServerState,
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import multidict
 import pytest
 from testtools import assertions
 from testtools import matchers
@@ -23,11 +24,17 @@
 SIGNED = b"X-Answer-Signature: s\r\n"
 
 
+def parse(*headers: tuple[str, str], status: int = 200) -> reports.ServerReport:
+    return server_reports.parse_report(
+        status, multidict.CIMultiDict(headers), NAMES
+    )
+
+
 @pytest.mark.parametrize(
     ("text", "limit"), [("1.7", 1.7), ("30", 30.0), (".3", 0.3), ("0", 0.0)]
 )
 def test_a_limit_is_a_decimal_number(text: str, limit: float) -> None:
-    report = server_reports.parse_report({"X-Server-Limit": text}, NAMES)
+    report = parse(("X-Server-Limit", text))
     assertions.assert_that(report.limit, matchers.Equals(limit))
     assertions.assert_that(report.unreadable, matchers.Equals({}))
 
@@ -37,8 +44,7 @@
     ["", "-1", "+2", "nan", "inf", "1e3", "2,5", "1.7, 3", "soon", "9" * 400],
 )
 def test_other_texts_are_no_limit(text: str) -> None:
-    headers = {"X-Server-Limit": text, "X-Load": "3,0,8"}
-    report = server_reports.parse_report(headers, NAMES)
+    report = parse(("X-Server-Limit", text), ("X-Load", "3,0,8"))
     assertions.assert_that(report.limit, matchers.Is(None))
     shown = report.unreadable[reports.Word.LIMIT]
     assertions.assert_that(shown, matchers.Not(matchers.Equals("")))
@@ -49,6 +55,55 @@
     assertions.assert_that(report.load.running, matchers.Equals(3))
 
 
+def test_a_server_says_that_it_leaves_in_one_way() -> None:
+    said = ("x-server-leaving", "1")
+    assertions.assert_that(parse(said).is_leaving, matchers.Is(True))
+    assertions.assert_that(parse(said, said).is_leaving, matchers.Is(True))
+    assertions.assert_that(parse().is_leaving, matchers.Is(False))
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [("",), ("0",), ("yes",), ("true",), ("1, 1",), ("1", "0"), ("11",)],
+)
+def test_other_texts_do_not_say_that_it_leaves(texts: tuple[str, ...]) -> None:
+    report = parse(*(("X-Server-Leaving", text) for text in texts))
+    assertions.assert_that(report.is_leaving, matchers.Is(False))
+    assertions.assert_that(
+        report.unreadable.keys(), matchers.Equals({reports.Word.LEAVING})
+    )
+
+
+@pytest.mark.parametrize(("text", "rest"), [("3", 3.0), ("0.25", 0.25)])
+def test_a_rest_is_asked_for_with_503_alone(text: str, rest: float) -> None:
+    asked = ("Retry-After", text)
+    assertions.assert_that(parse(asked, status=503).rest, matchers.Equals(rest))
+    for status in (200, 429, 500):
+        report = parse(asked, status=status)
+        assertions.assert_that(report.rest, matchers.Is(None))
+        assertions.assert_that(report.unreadable, matchers.Equals({}))
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        ("",),
+        ("-1",),
+        ("nan",),
+        ("1e9",),
+        ("Thu, 03 Dec 2026 08:00:00 GMT",),
+        ("3", "4"),
+        ("9" * 40,),
+    ],
+)
+def test_other_texts_ask_for_no_rest(texts: tuple[str, ...]) -> None:
+    report = parse(*(("Retry-After", text) for text in texts), status=503)
+    assertions.assert_that(report.rest, matchers.Is(None))
+    assertions.assert_that(
+        report.unreadable.keys(), matchers.Equals({reports.Word.REST})
+    )
+
+
 class Speaker:
     """A server that answers with the heads that it is given.
 
@@ -122,3 +177,21 @@
     speaker.status, speaker.headers = status, headers
     await ask(harness)
     assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+
+
+async def test_what_a_server_says_of_its_end_and_rest_is_believed(
+    harness: Harness,
+) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    server = harness.state.router.fleet.servers["s1"]
+    speaker.status, speaker.headers = (
+        b"503 Resting",
+        b"X-Not-Run: 1\r\nRetry-After: 30\r\nX-Server-Leaving: 1\r\n",
+    )
+    await ask(harness)
+    left = server.rest.left(harness.state.clock())
+    assertions.assert_that(left, matchers.GreaterThan(0.0))
+    assertions.assert_that(
+        server.departure.said_at, matchers.Not(matchers.Is(None))
+    )
