Send nothing more to a start of a server that says it leaves

Callers saw answers cut: hosts went on choosing an engine 9.8 and 11.1 s after they had passed on its word, as the store could not list it as leaving. Cause: no decision asked what an answer says of its server.

Why it holds: the word is a belief about one start of a server, kept with that start however its entry comes and goes (older ready, resync, lapse), and one row of the table that each choice asks: first attempts, repeats, larger models, trials, sessions, resumed streams. Another start (born later, or another address) owes nothing. Where all leave, a request is refused at once, not run (servers_leaving); Retry-After grows with the time for which no server has been ready.

--- a/src/hoistmoor/core/refusals.py
+++ b/src/hoistmoor/core/refusals.py
@@ -48,6 +48,7 @@
     BACKEND_CUT = "backend_cut"
     BACKEND_ERROR = "backend_error"
     CRASHES_SERVERS = "crashes_servers"
+    SERVERS_LEAVING = "servers_leaving"
     SERVERS_LIMITED = "servers_limited"
     CALLER_LEFT = "caller_left"
     INTERNAL = "internal"
@@ -183,6 +184,9 @@
         _FIX,
         "Change the request; servers that ran it have crashed.",
     ),
+    Reason.SERVERS_LEAVING: Rule(
+        HTTPStatus.SERVICE_UNAVAILABLE, _SOON, "Wait, then try again."
+    ),
     Reason.SERVERS_LIMITED: Rule(
         HTTPStatus.SERVICE_UNAVAILABLE,
         _SOON,
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -16,7 +16,6 @@
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import messages
-from hoistmoor.core.relay.course import retry_after
 from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import runs
 
@@ -55,6 +54,12 @@
     _State.DECLINED: refusals.Reason.BACKEND_DECLINED,
 }
 
+# What may keep a request from all servers, where the caller is told of it.
+_REASON_BY_BAR = {
+    access.Bar.LEAVING: refusals.Reason.SERVERS_LEAVING,
+    access.Bar.LIMITED: refusals.Reason.SERVERS_LIMITED,
+}
+
 
 class RelayMachine:
     """One request, from admission to its final answer.
@@ -283,17 +288,22 @@
     ) -> messages.Effect:
         """Ends a request that no server may get now.
 
-        Where all servers have named limits it is refused at once: to wait for
-        room here would only let others wait behind it.
+        It is refused at once, also where some server may soon: to wait here
+        would only let others wait behind it.
         """
         outlook = self._router.outlook(self.request, now)
-        if outlook is None or outlook.bar is not access.Bar.LIMITED:
+        known = _REASON_BY_BAR.get(outlook.bar) if outlook else None
+        if outlook is None or known is None:
             self._detail = self._detail or "no backend server is ready"
             return self._give_up(reason)
         if reason is refusals.Reason.NO_CAPACITY:
-            reason = refusals.Reason.SERVERS_LIMITED
-        self._detail = self._detail or "each backend server has named a limit"
-        return self._give_up(reason, max(outlook.wait, retry_after.FOR_ROOM))
+            reason = known
+        self._detail = self._detail or (
+            f"of the backend servers the first to be ready is {outlook.bar}"
+        )
+        return self._give_up(
+            reason, self._router.wait_until(outlook, self.request, now)
+        )
 
     def _refuse_quarantined(self, now: float) -> messages.Effect:
         self._detail = "servers that ran this request have crashed"
--- a/src/hoistmoor/core/relay/course/retry_after.py
+++ b/src/hoistmoor/core/relay/course/retry_after.py
@@ -48,5 +48,18 @@
         return ELSEWHERE
     if reason not in _THIS_HOST:
         return FOR_ROOM
-    wait = min(LONGEST, max(ELSEWHERE, unable_for))
+    return _spread(min(LONGEST, max(ELSEWHERE, unable_for)), draw)
+
+
+def for_lack(lasted: float, draw: float) -> float:
+    """Returns the seconds where no server is known that will take a request.
+
+    Args:
+        lasted: Seconds for which there has been none.
+        draw: Random number, 0 to 1.
+    """
+    return _spread(min(LONGEST, max(FOR_ROOM, lasted)), draw)
+
+
+def _spread(wait: float, draw: float) -> float:
     return wait * (1.0 - SPREAD / 2.0 + SPREAD * draw)
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -13,6 +13,7 @@
 from hoistmoor.core.relay.answers import delays as delays_lib
 from hoistmoor.core.relay.answers import pace as pace_lib
 from hoistmoor.core.relay.course import budget
+from hoistmoor.core.relay.course import retry_after
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import access
@@ -68,6 +69,8 @@
         partition: Its classes of work.
         delays: How long its classes wait for their first part.
         mean_work: Usual work of a request; 0 before the first.
+        lacking_since: Steady time since which no server was ready for any
+            request; None where one was for the newest.
     """
 
     budget: budget.RepeatBudget
@@ -76,6 +79,14 @@
     )
     delays: delays_lib.FirstDelays = attrs.field(factory=delays_lib.FirstDelays)
     mean_work: float = 0.0
+    lacking_since: float | None = None
+
+    def note_ready(self, is_ready: bool, now: float) -> None:
+        """Notes whether some server was ready for a request."""
+        if is_ready:
+            self.lacking_since = None
+        elif self.lacking_since is None:
+            self.lacking_since = now
 
     def note_work(self, work: float) -> None:
         """Takes a request's work into the mean."""
@@ -185,6 +196,7 @@
             now,
         )
         ready = self.fleet.ready(service, allowed, excluded, now)
+        self._service(service).note_ready(bool(ready), now)
         if request.prompt is None:
             return placement.pick(ready, self.zone, now, self._draws)
         return placement.pick_engine(
@@ -204,6 +216,25 @@
         """Returns when the first server may get a request; None for now."""
         return self.fleet.outlook(request.service, now)
 
+    def wait_until(
+        self,
+        outlook: access.Outlook,
+        request: requests.RelayRequest,
+        now: float,
+    ) -> float:
+        """Returns the seconds after which a refused caller should come back.
+
+        Args:
+            outlook: When the first server may get the request.
+            request: The request.
+            now: Steady time.
+        """
+        if outlook.wait < access.FOR_GOOD:
+            return max(outlook.wait, retry_after.FOR_ROOM)
+        lacking_since = self._service(request.service).lacking_since
+        lasted = 0.0 if lacking_since is None else now - lacking_since
+        return retry_after.for_lack(lasted, self._draws.unit())
+
     def class_of(
         self, request: requests.RelayRequest, model: str
     ) -> partition_lib.WorkClass:
--- a/src/hoistmoor/core/relay/servers/access.py
+++ b/src/hoistmoor/core/relay/servers/access.py
@@ -28,6 +28,7 @@
     """What keeps requests from a server."""
 
     GONE = "gone"
+    LEAVING = "leaving"
     EVACUATED = "evacuated"
     COLD = "cold"
     LIMITED = "limited"
@@ -63,6 +64,7 @@
         # In this order: what is cheap to ask, and bars most, comes first.
         self._waits: dict[Bar, _Wait] = {
             Bar.GONE: _wait_for_return,
+            Bar.LEAVING: _wait_for_departure,
             Bar.EVACUATED: self._wait_for_evacuation,
             Bar.COLD: room.wait_for_cold,
             Bar.LIMITED: room.wait_for_limit,
@@ -119,3 +121,7 @@
 
 def _wait_for_return(state: server_lib.ServerState, now: float) -> float:
     return FOR_GOOD if state.is_gone(now) else 0.0
+
+
+def _wait_for_departure(state: server_lib.ServerState, now: float) -> float:
+    return FOR_GOOD if state.leaves(now) else 0.0
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -38,7 +38,15 @@
 def _is_same_server(
     known: server_lib.ServerEntry, entry: server_lib.ServerEntry
 ) -> bool:
-    return (known.identity, known.service) == (entry.identity, entry.service)
+    """Returns whether two entries are of one start of a server.
+
+    A start keeps its address, also where it tells no time of its birth.
+    """
+    return (known.identity, known.service, known.address) == (
+        entry.identity,
+        entry.service,
+        entry.address,
+    )
 
 
 class Fleet:
@@ -63,8 +71,8 @@
         self._room = room_lib.Room(self.warmups, self.shares)
         self.access = access_lib.Access(self._room)
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
-        # Last entries of servers that went, oldest first.
-        self._removed: dict[str, server_lib.ServerEntry] = {}
+        # Servers that went, as they were last known, oldest first.
+        self._removed: dict[str, server_lib.ServerState] = {}
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -88,8 +96,8 @@
                 written before, so the server is warm by the time it says.
         """
         known = self.servers.get(entry.server_id)
-        newest = known.entry if known else self._removed.get(entry.server_id)
-        if newest is not None and entry.is_older_than(newest):
+        newest = known or self._removed.get(entry.server_id)
+        if newest is not None and entry.is_older_than(newest.entry):
             return False
         if known is None or not _is_same_server(known.entry, entry):
             self._replace(known, entry)
@@ -157,11 +165,25 @@
     ) -> None:
         if known is not None:
             self._forget(known)
-        state = server_lib.ServerState(entry)
+        state = self._revived(entry) or server_lib.ServerState(entry)
         self.servers[entry.server_id] = state
         pool = self._by_service.setdefault(entry.service, {})
         pool[entry.server_id] = state
 
+    def _revived(
+        self, entry: server_lib.ServerEntry
+    ) -> server_lib.ServerState | None:
+        """Returns what is known of a start that was listed before.
+
+        What it has said of itself holds on, however its entry comes and goes.
+        """
+        state = self._removed.pop(entry.server_id, None)
+        if state is None or not _is_same_server(state.entry, entry):
+            return None
+        state.entry = entry
+        state.lapsed_until = None
+        return state
+
     def _forget(self, state: server_lib.ServerState) -> None:
         server_id = state.entry.server_id
         del self.servers[server_id]
@@ -174,7 +196,7 @@
             return False
         self._forget(state)
         self._removed.pop(server_id, None)
-        self._removed[server_id] = state.entry
+        self._removed[server_id] = state
         if len(self._removed) > MOST_REMOVED:
             del self._removed[next(iter(self._removed))]
         return True
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -128,9 +128,15 @@
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
     def is_gone(self, now: float) -> bool:
-        """Returns whether it must get no new work."""
+        """Returns whether it has ended, as far as is known."""
         is_over = self.lapsed_until is not None and now >= self.lapsed_until
-        return self.entry.is_leaving or is_over or now < self.absent_until
+        return is_over or now < self.absent_until
+
+    def leaves(self, now: float) -> bool:
+        """Returns whether it is about to end, by the store or its own word."""
+        if self.entry.is_leaving:
+            return True
+        return self.departure.holds(self.entry.born, now)
 
     def fullness(self, now: float) -> float:
         """Returns its requests as a multiple of its slots."""
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -461,3 +461,27 @@
     limit_all(router)
     effect = machine.handle(messages.HeadArrived(200, 5.0), NOW)
     assertions.assert_that(effect, matchers.IsInstance(messages.Pass))
+
+
+def test_where_all_servers_leave_a_request_is_refused_at_once(
+    router: router_lib.Router,
+) -> None:
+    for server in router.fleet:
+        server.departure.note(NOW)
+    waits = []
+    for later in (0.0, 1.0, 2.0, 9.0):
+        request = relay_parts.request(relay_parts.CONFIRM)
+        machine = machine_lib.RelayMachine(request, router)
+        refusal = refusal_of(machine.handle(messages.Started(), NOW + later))
+        assertions.assert_that(
+            refusal.reason, matchers.Equals(refusals.Reason.SERVERS_LEAVING)
+        )
+        assertions.assert_that(
+            refusal.outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
+        )
+        assert refusal.retry_after is not None
+        waits.append(refusal.retry_after)
+    # What has lasted for a while is expected to last as long again.
+    assertions.assert_that(waits, matchers.Equals(sorted(waits)))
+    assertions.assert_that(waits[0], matchers.LessThan(0.7))
+    assertions.assert_that(waits[-1], matchers.GreaterThan(2.0))
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -10,6 +10,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.servers import departures
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import server as server_lib
@@ -150,3 +151,56 @@
     assertions.assert_that(
         made.ready("desk", {"v1", "v2"}, (), NOW), matchers.Equals([])
     )
+
+
+def leaving_fleet(**fields: Any) -> fleet_lib.Fleet:
+    """Returns servers of which "a" has said that it leaves."""
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a", **fields), NOW)
+    made.put(relay_parts.entry("b"), NOW)
+    made.servers["a"].departure.note(NOW)
+    return made
+
+
+def ready_names(made: fleet_lib.Fleet, now: float) -> list[str]:
+    ready = made.ready("desk", {"v1"}, (), now)
+    return sorted(each.entry.server_id for each in ready)
+
+
+@pytest.mark.parametrize("born", [None, 1000])
+def test_what_the_store_says_does_not_undo_a_servers_own_word(
+    born: int | None,
+) -> None:
+    made = leaving_fleet(born=born, sequence=7)
+    assertions.assert_that(ready_names(made, NOW), matchers.Equals(["b"]))
+    made.put(relay_parts.entry("a", born=born, sequence=8), NOW + 1.0)
+    assertions.assert_that(ready_names(made, NOW + 1.0), matchers.Equals(["b"]))
+    made.remove("a")
+    made.put(relay_parts.entry("a", born=born, sequence=9), NOW + 2.0)
+    assertions.assert_that(ready_names(made, NOW + 2.0), matchers.Equals(["b"]))
+    made.lapse("a", NOW + 3.0)
+    made.drop_lapsed(NOW + 4.0)
+    made.put(relay_parts.entry("a", born=born, sequence=9), NOW + 5.0)
+    assertions.assert_that(ready_names(made, NOW + 5.0), matchers.Equals(["b"]))
+
+
+@pytest.mark.parametrize(
+    "start", [{"born": 2000}, {"born": 1000, "address": "127.0.0.1:2"}]
+)
+def test_another_start_of_a_leaving_server_is_used_at_once(
+    start: dict[str, Any],
+) -> None:
+    made = leaving_fleet(born=1000, sequence=7)
+    made.put(relay_parts.entry("a", sequence=8, **start), NOW + 0.1)
+    assertions.assert_that(
+        ready_names(made, NOW + 0.1), matchers.Equals(["a", "b"])
+    )
+
+
+def test_a_start_of_no_known_time_is_tried_again_after_a_while() -> None:
+    made = leaving_fleet()
+    late = NOW + departures.UNDATED_LIFE
+    assertions.assert_that(
+        ready_names(made, late - 1.0), matchers.Equals(["b"])
+    )
+    assertions.assert_that(ready_names(made, late), matchers.Equals(["a", "b"]))
--- a/tests/docs/docs_blocks.py
+++ b/tests/docs/docs_blocks.py
@@ -29,6 +29,7 @@
     refusals.Reason.NO_TABLE: "Publish a table, or look at the log.",
     refusals.Reason.TABLE_STALE: "The host sees neither log nor peers.",
     refusals.Reason.STOPPING: "A host stops; the balancer should skip it.",
+    refusals.Reason.SERVERS_LEAVING: "Start others in their place.",
     refusals.Reason.SERVERS_LIMITED: "Look at what the servers are in need of.",
     refusals.Reason.OVERLOADED: "Add hosts, or lower rates in `accounts`.",
     refusals.Reason.NO_CAPACITY: "Add backend servers or replicas.",
