Leave a server that asked for rest alone until its rest is over

Callers were refused though other engines had room, and waited for attempts at engines that turned everything away: a host left such an engine alone for a quarter of a second, whatever it had asked for, so that it got 5 requests of one host in 3 s of rest and more in all than before. Cause: no decision asked for the Retry-After of a 503. Evidence: real relays sent again as soon as the quarter second was over; now none does, and none of 7, 84 and 360 hosts sends anything from half a second after the answer to the end of the rest.

Why it holds: the longest rest is a row of the table that each choice asks, no outlier that is used where too many rest, and no failure of the server or its version. Where all rest, a request is refused at once, not run (servers_resting); Retry-After is what is left of the first rest, up to half more, so that callers do not come back together. A session keeps its version, as with limits. A rest beyond longest_rest_s (300) is cut to it: the server asks again if it still wants rest.

An engine's rest is told to nobody, so at 84 hosts before 60 engines each host learns of each one by its own answer.

--- a/src/hoistmoor/core/refusals.py
+++ b/src/hoistmoor/core/refusals.py
@@ -50,6 +50,7 @@
     CRASHES_SERVERS = "crashes_servers"
     SERVERS_LEAVING = "servers_leaving"
     SERVERS_LIMITED = "servers_limited"
+    SERVERS_RESTING = "servers_resting"
     CALLER_LEFT = "caller_left"
     INTERNAL = "internal"
 
@@ -192,6 +193,11 @@
         _SOON,
         "Wait, then try again, maybe at another host.",
     ),
+    Reason.SERVERS_RESTING: Rule(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        _SOON,
+        "Wait, then try again, maybe at another host.",
+    ),
     Reason.CALLER_LEFT: Rule(
         HTTPStatus.REQUEST_TIMEOUT, _SOON, "Keep the connection open."
     ),
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -58,6 +58,7 @@
 _REASON_BY_BAR = {
     access.Bar.LEAVING: refusals.Reason.SERVERS_LEAVING,
     access.Bar.LIMITED: refusals.Reason.SERVERS_LIMITED,
+    access.Bar.RESTING: refusals.Reason.SERVERS_RESTING,
 }
 
 
@@ -150,7 +151,7 @@
             return self._send(now, refusals.Reason.BACKEND_CUT)
         if event.state is _State.ANSWERED and not self._is_failure(event):
             return messages.Deliver()
-        if event.state is _State.ANSWERED:
+        if event.state is _State.ANSWERED and not event.asks_rest:
             self._failed_versions |= {self.server.entry.version}
         can_deliver = event.state is _State.ANSWERED and not self._begun
         self._excluded |= {self.server.entry.identity}
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -38,12 +38,14 @@
         status: HTTP status code of the answer; 0 without one.
         detail: What went wrong, for people.
         server_ended: Whether the server ended meanwhile.
+        asks_rest: Whether the server asked for rest with its answer.
     """
 
     state: outcomes.ExchangeState
     status: int = 0
     detail: str = ""
     server_ended: bool = False
+    asks_rest: bool = False
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/course/retry_after.py
+++ b/src/hoistmoor/core/relay/course/retry_after.py
@@ -51,6 +51,16 @@
     return _spread(min(LONGEST, max(ELSEWHERE, unable_for)), draw)
 
 
+def for_rest(left: float, draw: float) -> float:
+    """Returns the seconds where servers rest, never less than is left.
+
+    Args:
+        left: Seconds until the first rest ends.
+        draw: Random number, 0 to 1.
+    """
+    return left * (1.0 + SPREAD * draw)
+
+
 def for_lack(lasted: float, draw: float) -> float:
     """Returns the seconds where no server is known that will take a request.
 
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -18,6 +18,7 @@
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects as suspects_lib
@@ -50,6 +51,7 @@
             operators set no bound.
         session_life: Seconds after its last request that a session lives.
         warmup_excess: What cold servers may get beyond their rates.
+        longest_rest: Seconds that a server may ask a host to leave it alone.
     """
 
     repeat_ratio: float = 0.2
@@ -58,6 +60,7 @@
     repeat_slack: float | None = None
     session_life: float = 5.0
     warmup_excess: warmup.Excess = attrs.field(factory=warmup.Excess)
+    longest_rest: float = rests.LONGEST
 
 
 @attrs.define
@@ -118,6 +121,7 @@
         """
         self.fleet = fleet_lib.Fleet(own)
         self.fleet.warmups.excess = bounds.warmup_excess
+        self.fleet.longest_rest = bounds.longest_rest
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
         self.suspects = suspects_lib.SuspectTable()
@@ -140,6 +144,7 @@
         self._bounds = bounds
         self.rollouts.sessions.life = bounds.session_life
         self.fleet.warmups.excess = bounds.warmup_excess
+        self.fleet.longest_rest = bounds.longest_rest
         for service in self._services.values():
             service.budget.ratio = bounds.repeat_ratio
             service.budget.window = bounds.repeat_window
@@ -229,6 +234,8 @@
             request: The request.
             now: Steady time.
         """
+        if outlook.bar is access.Bar.RESTING:
+            return retry_after.for_rest(outlook.wait, self._draws.unit())
         if outlook.wait < access.FOR_GOOD:
             return max(outlook.wait, retry_after.FOR_ROOM)
         lacking_since = self._service(request.service).lacking_since
--- a/src/hoistmoor/core/relay/servers/access.py
+++ b/src/hoistmoor/core/relay/servers/access.py
@@ -30,13 +30,14 @@
     GONE = "gone"
     LEAVING = "leaving"
     EVACUATED = "evacuated"
+    RESTING = "resting"
     COLD = "cold"
     LIMITED = "limited"
 
 
 # These end soon and say nothing against the server's version: a session waits
 # for it rather than change its version to and fro.
-SHORT = frozenset({Bar.LIMITED})
+SHORT = frozenset({Bar.RESTING, Bar.LIMITED})
 
 
 @attrs.frozen
@@ -66,6 +67,7 @@
             Bar.GONE: _wait_for_return,
             Bar.LEAVING: _wait_for_departure,
             Bar.EVACUATED: self._wait_for_evacuation,
+            Bar.RESTING: _wait_for_rest,
             Bar.COLD: room.wait_for_cold,
             Bar.LIMITED: room.wait_for_limit,
         }
@@ -125,3 +127,7 @@
 
 def _wait_for_departure(state: server_lib.ServerState, now: float) -> float:
     return FOR_GOOD if state.leaves(now) else 0.0
+
+
+def _wait_for_rest(state: server_lib.ServerState, now: float) -> float:
+    return state.rest.left(now)
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core.relay.servers import access as access_lib
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import room as room_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
@@ -57,6 +58,8 @@
         access: Whether a server may get a request now.
         warmups: How servers warm up.
         shares: This host's part of what all hosts may send to one server.
+        longest_rest: Seconds that a server may ask this host to leave it
+            alone.
     """
 
     def __init__(self, own: str = "") -> None:
@@ -68,6 +71,7 @@
         self.servers: dict[str, server_lib.ServerState] = {}
         self.warmups = warmup_lib.Warmups()
         self.shares = shares_lib.HostShares(own)
+        self.longest_rest = rests.LONGEST
         self._room = room_lib.Room(self.warmups, self.shares)
         self.access = access_lib.Access(self._room)
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -8,6 +8,7 @@
 import orjson
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay.servers import rests
 from hoistmoor.relay import settings as relay_settings
 
 _MS = 1000.0
@@ -60,6 +61,7 @@
         session_life=bounds["session_s"],
         warmup_factor=bounds.get("warmup_overshoot", 1.0),
         warmup_spare=bounds.get("warmup_tolerance", 0.0),
+        longest_rest=float(fields.get("longest_rest_s", rests.LONGEST)),
         link=fields.get("limits", {}).get("link_mbps") or 0.0,
         is_first_start=fields.get("bootstrap", False),
     )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -220,6 +220,7 @@
         warmup_excess=warmup.Excess(
             settings.warmup_factor, settings.warmup_spare
         ),
+        longest_rest=settings.longest_rest,
     )
 
 
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -54,6 +54,7 @@
         is_dropped: Whether it was given up for a larger model's answer.
         is_cut: Whether the connection ended before the answer did.
         detail: What went wrong, for people.
+        asks_rest: Whether its server asked for rest with the answer.
         words: What its server had said against a send when it was sent, by
             the kind of word.
     """
@@ -70,6 +71,7 @@
     is_dropped: bool = False
     is_cut: bool = False
     detail: str = ""
+    asks_rest: bool = False
     words: dict[str, str] = attrs.field(factory=dict)
 
     def note_events(self, now: float) -> None:
@@ -106,6 +108,8 @@
             return pace.AttemptOutcome.WELL
         if state is _State.DECLINED and self.status in replaced:
             return pace.AttemptOutcome.REPLACED
+        if self.asks_rest:
+            return pace.AttemptOutcome.FULL
         is_whole = state is _State.ANSWERED
         if is_whole and self.status < _FAILED_STATUS:
             return pace.AttemptOutcome.WELL
@@ -121,7 +125,7 @@
         """Returns what it shows of its server's version, if anything.
 
         An answer that was cut shows nothing: its server may have died,
-        whatever the version.
+        whatever the version. Nor does one that asks for rest.
 
         Args:
             state: How far its exchange had come when it ended.
@@ -132,7 +136,7 @@
         took = now - self.started
         is_silent = state is _State.SENT and took > target
         is_whole = state is _State.ANSWERED
-        if not (is_whole or is_silent or self.is_dropped):
+        if not (is_whole or is_silent or self.is_dropped) or self.asks_rest:
             return None
         first = self.first or now
         return pace.Measured(
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -161,7 +161,11 @@
         self._kept = attempt
         return self._machine.handle(
             messages.AttemptEnded(
-                state, attempt.status, attempt.detail, send.server.has_ended
+                state,
+                attempt.status,
+                attempt.detail,
+                send.server.has_ended,
+                attempt.asks_rest,
             ),
             self._now(),
         )
@@ -287,9 +291,11 @@
         if head.status in self._links.dialect.not_run_statuses:
             return
         names = self._links.names
+        report = server_reports.parse_report(head.status, head.headers, names)
+        attempt.asks_rest = report.rest is not None
         self._state.server_beliefs.take_report(
             attempt.send.server,
-            server_reports.parse_report(head.status, head.headers, names),
+            report,
             attempt.started,
             is_success=head.status < 300 and names.signature in head.headers,
         )
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core.relay.servers import limit_words
-from hoistmoor.core.relay.servers import rests
 
 if TYPE_CHECKING:
     import asyncio
@@ -93,7 +92,7 @@
     def _take_rest(
         self, server: server_lib.ServerState, seconds: float
     ) -> None:
-        kept = min(seconds, rests.LONGEST)
+        kept = min(seconds, self._fleet.longest_rest)
         if server.rest.note(kept, self._clock()):
             self._write(
                 "server_rests",
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import rests
+
 
 @attrs.frozen(kw_only=True)
 class RelaySettings:
@@ -30,6 +32,8 @@
         warmup_factor: Times the rate that a service states for cold servers
             which these may get.
         warmup_spare: Requests in a second that they may get on top.
+        longest_rest: Seconds that a backend server may ask a host to leave it
+            alone. What it asks for beyond them it has to ask for again.
         link: Mbit/s of this host's link; 0 if it is not known.
         is_first_start: Whether all hosts start now for the first time.
     """
@@ -50,5 +54,6 @@
     session_life: float = 5.0
     warmup_factor: float = 1.0
     warmup_spare: float = 0.0
+    longest_rest: float = rests.LONGEST
     link: float = 0.0
     is_first_start: bool = False
--- /dev/null
+++ b/tests/core/relay/servers/test_relay_rests.py
@@ -0,0 +1,59 @@
+"""What one host believes of the rest that servers ask for."""
+
+from __future__ import annotations
+
+import relay_parts
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import access
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import rests
+
+NOW = 100.0
+
+
+def test_of_several_rests_the_one_that_ends_last_holds() -> None:
+    belief = rests.RestBelief()
+    assertions.assert_that(belief.note(3.0, NOW), matchers.Is(True))
+    assertions.assert_that(belief.note(0.5, NOW + 1.0), matchers.Is(False))
+    assertions.assert_that(belief.left(NOW + 1.0), matchers.Equals(2.0))
+    assertions.assert_that(belief.note(3.0, NOW + 1.0), matchers.Is(False))
+    assertions.assert_that(belief.left(NOW + 1.0), matchers.Equals(3.0))
+    assertions.assert_that(belief.left(NOW + 4.0), matchers.Equals(0.0))
+    assertions.assert_that(belief.note(1.0, NOW + 4.0), matchers.Is(True))
+
+
+def test_a_resting_server_is_no_last_resort() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a"))
+    made.put(relay_parts.entry("b"))
+    for server in made:
+        server.rest.note(3.0, NOW)
+    ready = made.ready("desk", {"v1"}, (), NOW + 2.9)
+    assertions.assert_that(ready, matchers.Equals([]))
+    made.servers["b"].rest.note(9.0, NOW)
+    assertions.assert_that(
+        made.outlook("desk", NOW + 1.0),
+        matchers.Equals(access.Outlook(access.Bar.RESTING, 2.0)),
+    )
+    assertions.assert_that(made.outlook("desk", NOW + 3.0), matchers.Is(None))
+
+
+def test_a_session_keeps_its_version_while_its_servers_rest() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a"))
+    made.put(relay_parts.entry("b", version="v2"))
+    made.servers["a"].rest.note(3.0, NOW)
+    assertions.assert_that(made.versions("desk", NOW), matchers.Equals({"v2"}))
+    assertions.assert_that(
+        made.versions("desk", NOW, access.SHORT), matchers.Equals({"v1", "v2"})
+    )
+
+
+def test_another_start_need_not_rest() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a", born=1000))
+    made.servers["a"].rest.note(9.0, NOW)
+    made.put(relay_parts.entry("a", born=2000))
+    assertions.assert_that(made.outlook("desk", NOW), matchers.Is(None))
--- a/tests/docs/docs_blocks.py
+++ b/tests/docs/docs_blocks.py
@@ -31,6 +31,7 @@
     refusals.Reason.STOPPING: "A host stops; the balancer should skip it.",
     refusals.Reason.SERVERS_LEAVING: "Start others in their place.",
     refusals.Reason.SERVERS_LIMITED: "Look at what the servers are in need of.",
+    refusals.Reason.SERVERS_RESTING: "Look at what the servers are in need of.",
     refusals.Reason.OVERLOADED: "Add hosts, or lower rates in `accounts`.",
     refusals.Reason.NO_CAPACITY: "Add backend servers or replicas.",
     refusals.Reason.RATE_LIMITED: "Raise `rate_limit` if they should.",
--- a/tests/relay/engine_traffic.py
+++ b/tests/relay/engine_traffic.py
@@ -10,22 +10,19 @@
 import asyncio
 import bisect
 import random
-from typing import TYPE_CHECKING
 
 import attrs
 import relay_parts
 import relay_swarm
 
 from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.course import requests
 from hoistmoor.core.relay.servers import reports
 
-if TYPE_CHECKING:
-    from hoistmoor.core import refusals
-
 # The promise to a server that names a limit: from some seconds after it first
 # did, it gets in any window at most so many times what the limit allows and a
 # few requests more, from hosts that were told a while ago.
@@ -34,6 +31,9 @@
 FACTOR = 1.5
 SPARE = 5.0
 TOLD_FOR = 0.5
+# Hosts, engines and requests a second: the sizes of the deployments, and the
+# size that is planned for.
+SIZES = {7: (6, 35.0), 84: (60, 300.0), 360: (90, 850.0)}
 SUBJECTS = 200  # Starts of prompts, so that all engines are wanted alike.
 FIRST_PART = 0.1  # Seconds until an answer begins.
 WHOLE = 1.0  # Seconds until it has ended.
@@ -138,13 +138,30 @@
     return FACTOR * limit * WINDOW + SPARE
 
 
+@attrs.frozen
+class Refused:
+    """A call that was refused.
+
+    Attributes:
+        refusal: How.
+        took: Seconds from the call to the refusal.
+        sent: Engines that had got it.
+        rest_left: Seconds until the first of the rests ends that engines had
+            asked of the host.
+    """
+
+    refusal: refusals.Refusal
+    took: float
+    sent: int
+    rest_left: float
+
+
 class Traffic:
     """Callers of all hosts of a swarm, and the engines behind these.
 
     Attributes:
         engines: The engines.
-        refused: Refusals, in order.
-        refused_after: Seconds from each refused call to its refusal.
+        refused: Refused calls, in order.
         delivered: How many requests were answered.
     """
 
@@ -159,8 +176,7 @@
             rate: Requests a second, of all callers.
         """
         self.engines = [Engine(f"e{number}") for number in range(engines)]
-        self.refused: list[refusals.Refusal] = []
-        self.refused_after: list[float] = []
+        self.refused: list[Refused] = []
         self.delivered = 0
         self._by_name = {each.name: each for each in self.engines}
         self._swarm = swarm
@@ -186,6 +202,10 @@
         by_demand = sorted(self.engines, key=lambda each: len(each.arrived))
         return by_demand[-count:]
 
+    def share_served(self) -> float:
+        """Returns the part of the calls that have ended which was answered."""
+        return self.delivered / (self.delivered + len(self.refused))
+
     def _knows_engines(self, member: relay_swarm.Member) -> bool:
         assert member.relay is not None
         return member.relay.state.router.fleet.servers.keys() >= set(
@@ -231,11 +251,28 @@
         while isinstance(effect, messages.Send):
             effect = await self._attempt(member, machine, effect)
         if isinstance(effect, messages.Refuse):
-            self.refused.append(effect.refusal)
-            self.refused_after.append(state.clock() - now)
+            self.refused.append(self._refused(member, machine, effect))
         else:
             self.delivered += 1
 
+    def _refused(
+        self,
+        member: relay_swarm.Member,
+        machine: machine_lib.RelayMachine,
+        effect: messages.Refuse,
+    ) -> Refused:
+        now = asyncio.get_running_loop().time()
+        ends = [
+            each.rests[member.name][1] if member.name in each.rests else now
+            for each in self.engines
+        ]
+        return Refused(
+            effect.refusal,
+            now - machine.request.arrived,
+            machine.sent,
+            max(0.0, min(ends) - now),
+        )
+
     async def _attempt(
         self,
         member: relay_swarm.Member,
@@ -270,3 +307,20 @@
     False: (200, outcomes.ExchangeState.ANSWERED, pace.AttemptOutcome.WELL),
     True: (503, outcomes.ExchangeState.DECLINED, pace.AttemptOutcome.FULL),
 }
+
+
+async def begin(
+    hosts: int, engines: int | None = None
+) -> tuple[relay_swarm.Swarm, Traffic]:
+    """Returns hosts and their callers, who have called for a while.
+
+    Args:
+        hosts: How many; a size in ``SIZES``.
+        engines: How many, if not those of the size.
+    """
+    usual, rate = SIZES[hosts]
+    swarm = await relay_swarm.calm_swarm(hosts)
+    traffic = Traffic(swarm, engines or usual, rate)
+    await traffic.begin()
+    await asyncio.sleep(3.0)
+    return swarm, traffic
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -10,6 +10,7 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.servers import reports
+from hoistmoor.core.relay.servers import rests
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.front import server_reports
 
@@ -195,3 +196,31 @@
     assertions.assert_that(
         server.departure.said_at, matchers.Not(matchers.Is(None))
     )
+
+
+async def test_whoever_asks_for_rest_has_not_failed(harness: Harness) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    server = harness.state.router.fleet.servers["s1"]
+    # It does not say that it has not run the request.
+    speaker.status, speaker.headers = b"503 Resting", b"Retry-After: 0.01\r\n"
+    for _ in range(5):
+        await harness.until(lambda: not server.rest.left(harness.state.clock()))
+        await ask(harness)
+    assertions.assert_that(server.health.failures, matchers.Equals(0))
+    assertions.assert_that(server.health.is_ejected, matchers.Is(False))
+
+
+async def test_a_rest_is_kept_to_for_a_while_at_most(harness: Harness) -> None:
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    server = harness.state.router.fleet.servers["s1"]
+    speaker.status, speaker.headers = (
+        b"503 Resting",
+        b"X-Not-Run: 1\r\nRetry-After: 999999\r\n",
+    )
+    await ask(harness)
+    assertions.assert_that(
+        server.rest.left(harness.state.clock()),
+        matchers.LessThan(rests.LONGEST + 1e-9),
+    )
--- a/tests/relay/test_relay_leaving_server.py
+++ b/tests/relay/test_relay_leaving_server.py
@@ -28,9 +28,6 @@
 
 LEAVES = b"X-Server-Leaving: 1\r\n"
 CALLS = 30  # Of callers at each host, once the word is known.
-# Hosts, engines and requests a second: the sizes of the deployments, and the
-# size that is planned for.
-SIZES = {7: (6, 35.0), 84: (60, 300.0), 360: (90, 850.0)}
 AWAY = 12.0  # Seconds for which the store is away.
 
 
@@ -66,10 +63,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        swarm = await relay_swarm.calm_swarm(7)
-        traffic = engine_traffic.Traffic(swarm, *SIZES[7])
-        await traffic.begin()
-        await asyncio.sleep(3.0)
+        swarm, traffic = await engine_traffic.begin(7)
         swarm.store.fault[""] = "silent"
         (engine,) = traffic.most_wanted(1)
         engine.is_leaving = True
--- a/tests/relay/test_relay_resting_server.py
+++ b/tests/relay/test_relay_resting_server.py
@@ -18,17 +18,23 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import engine_traffic
+import pytest
 import relay_cluster
+import relay_swarm
 from testtools import assertions
 from testtools import matchers
 
-if TYPE_CHECKING:
-    import pytest
+from hoistmoor.core import outcomes
+from hoistmoor.core import refusals
 
+if TYPE_CHECKING:
     from hoistmoor.relay import application
 
 RESTS = b"Retry-After: 600\r\n"
 CALLS = 30  # Of callers at each host, once the rest is known.
+REST = 3.0  # Seconds that an engine asks for in virtual time.
+AWAY = 9.0  # Seconds for which it turns all away.
 
 
 async def test_a_resting_server_gets_nothing(
@@ -56,3 +62,68 @@
                     answer.is_whole_stream, matchers.Is(True)
                 )
         assertions.assert_that(resting.arrived, matchers.Equals([]))
+
+
+@pytest.mark.parametrize("hosts", engine_traffic.SIZES)
+def test_no_host_sends_to_an_engine_that_rests(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        _, traffic = await engine_traffic.begin(hosts)
+        resting = traffic.most_wanted(2)
+        for engine in resting:
+            engine.rest = REST
+        await asyncio.sleep(AWAY)
+        for engine in resting:
+            engine.rest = None
+        await asyncio.sleep(REST)
+        for engine in resting:
+            assertions.assert_that(engine.during_rest, matchers.Equals([]))
+        assertions.assert_that(
+            traffic.share_served(), matchers.GreaterThan(0.99)
+        )
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+@pytest.mark.parametrize("hosts", engine_traffic.SIZES)
+def test_where_all_rest_callers_are_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        # A host is told of an engine's rest by that engine alone.
+        _, traffic = await engine_traffic.begin(hosts, engines=4)
+        for engine in traffic.engines:
+            engine.rest = REST
+        await asyncio.sleep(AWAY)
+        for engine in traffic.engines:
+            engine.rest = None
+            assertions.assert_that(engine.during_rest, matchers.Equals([]))
+        refused = traffic.refused
+        assertions.assert_that(
+            {each.refusal.outcome for each in refused},
+            matchers.Equals({outcomes.Outcome.NOT_RUN}),
+        )
+        at_once = [each for each in refused if not each.sent]
+        assertions.assert_that(
+            {each.refusal.reason for each in at_once},
+            matchers.Equals({refusals.Reason.SERVERS_RESTING}),
+        )
+        assertions.assert_that(
+            max(each.took for each in at_once), matchers.Equals(0.0)
+        )
+        for each in at_once:
+            wait = each.refusal.retry_after
+            assertions.assert_that(
+                wait, matchers.GreaterThan(each.rest_left - 1e-9)
+            )
+            assertions.assert_that(
+                wait, matchers.LessThan(1.5 * each.rest_left + 1e-9)
+            )
+        # Whoever comes back when told to is served.
+        await asyncio.sleep(REST * 1.5)
+        count = len(traffic.refused)
+        await asyncio.sleep(2.0)
+        assertions.assert_that(len(traffic.refused), matchers.Equals(count))
+
+    relay_swarm.play(monkeypatch, scenario())
--- a/tests/relay/test_relay_server_limit.py
+++ b/tests/relay/test_relay_server_limit.py
@@ -32,23 +32,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Hosts, engines and requests a second: the sizes of the deployments, and the
-# size that is planned for.
-SIZES = {7: (6, 35.0), 84: (60, 300.0), 360: (90, 850.0)}
 LIMITED_FOR = 20.0  # Seconds.
 
 
-async def begin_traffic(
-    hosts: int,
-) -> tuple[relay_swarm.Swarm, engine_traffic.Traffic]:
-    """Returns hosts and their callers, who have called for a while."""
-    swarm = await relay_swarm.calm_swarm(hosts)
-    traffic = engine_traffic.Traffic(swarm, *SIZES[hosts])
-    await traffic.begin()
-    await asyncio.sleep(3.0)
-    return swarm, traffic
-
-
 def assert_kept(engine: engine_traffic.Engine, limit: float) -> None:
     """Asserts that an engine got no more than its limit allows."""
     assertions.assert_that(
@@ -57,12 +43,12 @@
     )
 
 
-@pytest.mark.parametrize("hosts", SIZES)
+@pytest.mark.parametrize("hosts", engine_traffic.SIZES)
 def test_all_hosts_together_keep_to_the_limit(
     monkeypatch: pytest.MonkeyPatch, hosts: int
 ) -> None:
     async def scenario() -> None:
-        _, traffic = await begin_traffic(hosts)
+        _, traffic = await engine_traffic.begin(hosts)
         limited = traffic.engines[:2]
         for engine in limited:
             engine.begin_limit(1.7)
@@ -94,7 +80,7 @@
     monkeypatch: pytest.MonkeyPatch, hosts: int, limit: float
 ) -> None:
     async def scenario() -> None:
-        swarm, traffic = await begin_traffic(hosts)
+        swarm, traffic = await engine_traffic.begin(hosts)
         clock = asyncio.get_running_loop().time
         (engine,) = traffic.most_wanted(1)
         engine.begin_limit(limit)
@@ -172,7 +158,7 @@
     trouble: Callable[[relay_swarm.Swarm], None],
 ) -> None:
     async def scenario() -> None:
-        swarm, traffic = await begin_traffic(hosts)
+        swarm, traffic = await engine_traffic.begin(hosts)
         limited = traffic.most_wanted(2)
         for engine in limited:
             engine.begin_limit(limit)
@@ -192,21 +178,21 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        _, traffic = await begin_traffic(7)
+        _, traffic = await engine_traffic.begin(7)
         for engine in traffic.engines:
             engine.begin_limit(1.7)
         await asyncio.sleep(LIMITED_FOR)
         for engine in traffic.engines:
             assert_kept(engine, 1.7)
-        reasons = {each.reason for each in traffic.refused}
+        reasons = {each.refusal.reason for each in traffic.refused}
         assertions.assert_that(
             reasons, matchers.Equals({refusals.Reason.SERVERS_LIMITED})
         )
-        outcome = {each.outcome for each in traffic.refused}
+        outcome = {each.refusal.outcome for each in traffic.refused}
         assertions.assert_that(
             outcome, matchers.Equals({outcomes.Outcome.NOT_RUN})
         )
-        waits = [each.retry_after or 0.0 for each in traffic.refused]
+        waits = [each.refusal.retry_after or 0.0 for each in traffic.refused]
         assertions.assert_that(min(waits), matchers.GreaterThan(0.4))
         assertions.assert_that(max(waits), matchers.LessThan(5.0))
 
