Bring requests back to a server that has rested step by step

All hosts were told the same end of a rest at about the same moment, and a server that has rested is idle, so all chose it at once. Over the two seconds after it a growing part of the requests may choose it, by a draw of each request; where no other server is left, all may.

The end of a rest, and that another start has followed a leaving one, are written (server_rest_over, server_leaving_over).

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -204,7 +204,9 @@
             failed,
             now,
         )
-        ready = self.fleet.ready(service, allowed, excluded, now)
+        ready = self.fleet.ready(
+            service, allowed, excluded, now, self._draws.unit()
+        )
         self._service(service).note_ready(bool(ready), now)
         if request.prompt is None:
             return placement.pick(ready, self.zone, now, self._draws)
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -285,6 +285,7 @@
         versions: Container[str],
         excluded: Container[str],
         now: float,
+        draw: float = 0.0,
     ) -> list[server_lib.ServerState]:
         """Returns the servers that may get new work.
 
@@ -295,6 +296,8 @@
             versions: Versions that they may have.
             excluded: Identities of servers that must not be chosen.
             now: Steady time.
+            draw: Random number of the request, 0 to 1; servers that come back
+                from a rest are for those with a small one.
         """
         pool = [
             each
@@ -304,11 +307,13 @@
             and self.access.may_get(each, now)
         ]
         # While others are left, a server that may come back cold is tried by
-        # those hosts alone that may send to cold ones.
+        # those hosts alone that may send to cold ones, and one that comes back
+        # from a rest by a part of the requests.
         tried = [
             each
             for each in pool
-            if now >= each.doubted_until or self._room.has_for_cold(each, now)
+            if (now >= each.doubted_until or self._room.has_for_cold(each, now))
+            and draw <= each.rest.part_back(now)
         ]
         pool = tried or pool
         for each in pool:
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -198,6 +198,7 @@
             self._links.dialect,
         )
         self._sequence.begin_run()
+        self._state.server_beliefs.note_send(send.server)
         words = attempt_lib.words_against(send.server, now)
         for word in words:
             self._state.counters.sends_despite.labels(word).inc()
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -69,6 +69,26 @@
         if report.rest is not None:
             self._take_rest(server, report.rest)
 
+    def note_send(self, server: server_lib.ServerState) -> None:
+        """Notes that a request of this host is sent to a server."""
+        now = self._clock()
+        if server.rest.note_send(now):
+            self._write(
+                "server_rest_over",
+                server,
+                since=round(now - server.rest.until, 3),
+            )
+
+    def note_replaced(self, server: server_lib.ServerState) -> None:
+        """Notes that another start has followed one of a server."""
+        if server.departure.said_at is not None:
+            self._write(
+                "server_leaving_over",
+                server,
+                born=server.entry.born,
+                since=round(self._clock() - server.departure.said_at, 3),
+            )
+
     def take_limits(self, words: limit_words.LimitWords, now: float) -> None:
         """Takes what another host says of servers' limits.
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -147,8 +147,11 @@
             self._unreadable[record.key] = record.offset
             return False
         was_unreadable = self._unreadable.pop(record.key, None) is not None
+        before = self._fleet.servers.get(entry.server_id)
         if not self._fleet.put(entry, self._state.clock()):
             return was_unreadable
+        if before and before is not self._fleet.servers[entry.server_id]:
+            self._state.server_beliefs.note_replaced(before)
         self._state.believe(
             "server",
             server=entry.server_id,
--- a/tests/core/relay/servers/test_relay_rests.py
+++ b/tests/core/relay/servers/test_relay_rests.py
@@ -57,3 +57,30 @@
     made.servers["a"].rest.note(9.0, NOW)
     made.put(relay_parts.entry("a", born=2000))
     assertions.assert_that(made.outlook("desk", NOW), matchers.Is(None))
+
+
+def test_the_first_request_after_a_rest_tells_of_its_end() -> None:
+    belief = rests.RestBelief()
+    assertions.assert_that(belief.note_send(NOW), matchers.Is(False))
+    belief.note(3.0, NOW)
+    assertions.assert_that(belief.note_send(NOW + 2.9), matchers.Is(False))
+    assertions.assert_that(belief.note_send(NOW + 3.0), matchers.Is(True))
+    assertions.assert_that(belief.note_send(NOW + 3.1), matchers.Is(False))
+
+
+def test_requests_come_back_to_a_rested_server_step_by_step() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a"))
+    made.put(relay_parts.entry("b"))
+    made.servers["a"].rest.note(3.0, NOW)
+    for later, part in ((3.0, 0.0), (3.5, 0.25), (4.0, 0.5), (5.0, 1.0)):
+        now = NOW + later
+        found = [
+            len(made.ready("desk", {"v1"}, (), now, draw / 100)) == 2
+            for draw in range(1, 101)
+        ]
+        assertions.assert_that(sum(found) / 100, matchers.Equals(part))
+    # Where no other is left, all requests come back at once.
+    made.remove("b")
+    ready = made.ready("desk", {"v1"}, (), NOW + 3.0, 0.9)
+    assertions.assert_that(len(ready), matchers.Equals(1))
