Have servers of the soak leave, rest and name limits

One of three plain servers each, by phases of a period that all share; the one that leaves says so for four seconds, ends and is started anew, while the store lists it as ready.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import attrs
 import soak_backend
 import soak_proxy
+import soak_words
 import soak_world
 
 if TYPE_CHECKING:
@@ -91,6 +92,7 @@
         self.world = world
         self.calls: list[Call] = []
         self.spans: list[Span] = []
+        self.stops: list[Span] = []
         self.revoked_at = float("inf")
         self._draw = random.Random(seed)
         self._seconds = seconds
@@ -253,9 +255,12 @@
         relay = self._draw.choice(self.world.relays)
         if not self._take(relay.program.name):
             return
+        stop = Span(relay.program.name, "stop", time.monotonic())
+        self.stops.append(stop)
         relay.program.send(signal.SIGTERM)
         await relay.program.end(soak_world.GRACE_S)
         relay.program.start()
+        stop.last = time.monotonic()
         await asyncio.sleep(1.0)
         self._busy.discard(relay.program.name)
 
@@ -333,6 +338,12 @@
         found = []
         for call in self.calls:
             found += self._check_call(call, runs.get(call.request_id, []))
+        found += soak_words.broken(
+            {call.request_id: call for call in self.calls},
+            list(self.world.runs()),
+            list(self.world.declined()),
+            [*self.spans, *self.stops],
+        )
         crashed = {name for name in runs if name.startswith("crash.")}
         late = sum(
             any(
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -3,7 +3,8 @@
     python tests/soak/soak_backend.py ID SERVICE LISTEN LISTED STORE
 
 It lists itself in the store under the address LISTED, tells on standard
-output each run that it begins, and answers with bytes that name the request.
+output each run that it begins or declines, and answers with bytes that name
+the request.
 """
 
 from __future__ import annotations
@@ -22,13 +23,18 @@
 PAUSE = 0.04  # Seconds between two events.
 CRASH_PATH = "/stream/crash"  # A request that ends whoever runs it.
 WORK = 0.02  # Seconds of a plain request.
-# Of each so many seconds one server names a limit in the first few, and what is
-# no limit in the next one. No request ends the other server of its service, so
-# callers are to be served all the time once all is calm.
-LIMITED = "i-desk-1"
-LIMIT_PERIOD = 8.0
-LIMITED_FOR = 3.0
-UNREADABLE_FOR = 1.0
+POLL = 0.02  # Seconds between two looks at the clock.
+# What servers say of themselves, by the second of a period that all share. No
+# request ends a server of this service, and in each phase two of its three may
+# be used, so callers are to be served all the time once all is calm.
+PERIOD = 14.0
+LIMITED = "i-desk-1"  # Names a limit, and then what is none.
+RESTING = "i-desk-2"  # Turns all away and asks for rest.
+LEAVING = "i-desk-0"  # Says that it leaves, ends, and is started anew.
+LIMIT_PHASE = (0.0, 3.0)
+NO_LIMIT_PHASE = (3.0, 4.0)
+REST_PHASE = (4.5, 6.5)
+LEAVING_PHASE = (7.0, 11.0)
 LIMIT = "4.5"
 NO_LIMIT = "soon"
 
@@ -45,15 +51,20 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
-def limit_headers(server_id: str, now: float) -> dict[str, str]:
-    """Returns what a server names as its limit, if anything."""
-    if server_id != LIMITED:
-        return {}
-    phase = now % LIMIT_PERIOD
-    if phase < LIMITED_FOR:
+def is_in(phase: tuple[float, float], now: float) -> bool:
+    """Returns whether a phase of the period is under way."""
+    first, last = phase
+    return first <= now % PERIOD < last
+
+
+def words(server_id: str, now: float) -> dict[str, str]:
+    """Returns what a server says of itself in an answer."""
+    if server_id == LIMITED and is_in(LIMIT_PHASE, now):
         return {"Server-Limit": LIMIT}
-    if phase < LIMITED_FOR + UNREADABLE_FOR:
+    if server_id == LIMITED and is_in(NO_LIMIT_PHASE, now):
         return {"Server-Limit": NO_LIMIT}
+    if server_id == LEAVING and is_in(LEAVING_PHASE, now):
+        return {"Server-Leaving": "1"}
     return {}
 
 
@@ -62,6 +73,7 @@
 
     def __init__(self, server_id: str) -> None:
         self.server_id = server_id
+        self.born = int(time.time() * 1000)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Runs one request."""
@@ -72,35 +84,58 @@
             return web.Response(
                 status=421, headers={"Hoistmoor-Request-Id": request_id}
             )
-        self._tell(request, request_id, tenant, left)
+        now = time.monotonic()
+        rest = REST_PHASE[1] - now % PERIOD
+        rests = self.server_id == RESTING and is_in(REST_PHASE, now)
+        said = words(self.server_id, now)
+        self._tell(
+            {
+                "declined" if rests else "run": request_id,
+                "at": now,
+                "server": self.server_id,
+                "born": self.born,
+                "rest": rest if rests else 0.0,
+                "says": list(said),
+                "path": request.path,
+                "tenant": tenant,
+                "left_ms": left,
+                "key": request.headers.get("Authorization", ""),
+            }
+        )
+        if rests:
+            return web.Response(
+                status=503,
+                headers={
+                    "Hoistmoor-Request-Id": request_id,
+                    "Hoistmoor-Not-Executed": "1",
+                    "Retry-After": f"{rest:.3f}",
+                },
+            )
         if request.path == CRASH_PATH:
             os._exit(1)
         headers = {
             "Hoistmoor-Request-Id": request_id,
             "Hoistmoor-Response-Signature": "soak",
             "Hoistmoor-Instance-Load": "1,0,8",
-            **limit_headers(self.server_id, time.monotonic()),
+            **said,
         }
         if request.path.startswith("/stream/"):
             return await self._stream(request, request_id, headers)
         await asyncio.sleep(WORK)
         return web.Response(body=body_of(request_id), headers=headers)
 
-    def _tell(
-        self, request: web.Request, request_id: str, tenant: str, left: str
-    ) -> None:
-        run = {
-            "run": request_id,
-            "at": time.monotonic(),
-            "server": self.server_id,
-            "path": request.path,
-            "tenant": tenant,
-            "left_ms": left,
-            "key": request.headers.get("Authorization", ""),
-        }
-        sys.stdout.buffer.write(orjson.dumps(run) + b"\n")
+    def _tell(self, line: dict[str, object]) -> None:
+        sys.stdout.buffer.write(orjson.dumps(line) + b"\n")
         sys.stdout.buffer.flush()
 
+    async def end_as_said(self) -> None:
+        """Ends once it has said for a while that it leaves."""
+        while not is_in(LEAVING_PHASE, time.monotonic()):
+            await asyncio.sleep(POLL)
+        while is_in(LEAVING_PHASE, time.monotonic()):
+            await asyncio.sleep(POLL)
+        os._exit(0)
+
     async def _stream(
         self, request: web.Request, request_id: str, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -118,7 +153,7 @@
 
 
 async def keep_listed(
-    server_id: str, service: str, listed: str, store: str
+    server_id: str, service: str, listed: str, store: str, born: int
 ) -> None:
     """Writes the entry again and again; the store may be away."""
     entry = orjson.dumps(
@@ -132,7 +167,7 @@
             "warmup_left_ms": 0,
             "sequence": 1,
             # Each start of a server is another server.
-            "born": int(time.time() * 1000),
+            "born": born,
         }
     )
     url = f"http://{store}/admin/put"
@@ -151,12 +186,16 @@
     """Serves until the process is ended."""
     server_id, service, listen, listed, store = words
     ip, _, port = listen.rpartition(":")
+    backend = Backend(server_id)
     runner = web.ServerRunner(
-        web.Server(Backend(server_id).handle, handler_cancellation=True)
+        web.Server(backend.handle, handler_cancellation=True)
     )
     await runner.setup()
     await web.TCPSite(runner, ip, int(port)).start()
-    await keep_listed(server_id, service, listed, store)
+    tasks = [keep_listed(server_id, service, listed, store, backend.born)]
+    if server_id == LEAVING:
+        tasks.append(backend.end_as_said())
+    await asyncio.gather(*tasks)
 
 
 if __name__ == "__main__":
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -21,7 +21,7 @@
     from collections.abc import Iterator
 
 HERE = pathlib.Path(__file__).parent
-SERVICES = {"desk": 2, "llm": 2}
+SERVICES = {"desk": 3, "llm": 2}
 START_TIMEOUT = 30.0  # Seconds; a busy machine starts slowly.
 REVOKE_MS = 5000
 GRACE_S = 8
@@ -283,9 +283,16 @@
 
     def runs(self) -> Iterator[dict[str, Any]]:
         """Yields each run that a backend server began."""
+        return self._lines(b'{"run"')
+
+    def declined(self) -> Iterator[dict[str, Any]]:
+        """Yields each request that a backend server turned away."""
+        return self._lines(b'{"declined"')
+
+    def _lines(self, begin: bytes) -> Iterator[dict[str, Any]]:
         for backend in self.backends:
             for line in backend.log.read_bytes().splitlines():
-                if line.startswith(b'{"run"'):
+                if line.startswith(begin):
                     yield orjson.loads(line)
 
     async def stop(self) -> None:
