--- a/benchmarks/capacity/tree.py
+++ b/benchmarks/capacity/tree.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import mirror
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import server as server_lib
@@ -61,7 +62,7 @@
         log=event_log.EventLog("h", clock, nowhere),
         counters=counters.Counters(),
         router=router_lib.Router(
-            "z", router_lib.Bounds(), hashing.Draws.seeded(1)
+            "z", bounds_lib.Bounds(), hashing.Draws.seeded(1)
         ),
         lease=freshness.ConfigurationLease(5.0),
         outstanding=outstanding.OutstandingWork(),
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -15,6 +15,7 @@
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.beliefs import configuration
+from hoistmoor.core.relay.course import attempt_counts
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import runs
@@ -26,17 +27,6 @@
 
 _State = outcomes.ExchangeState
 
-# Servers that may decline one request before it is refused: a server that
-# declines has not run it, so the route's attempts do not count these.
-MAX_DECLINED = 3
-# Servers that may take no connection for one request before it is refused. A
-# refused connection costs some milliseconds and is no work for anybody, and
-# servers that died look the least busy. Where a third of them is dead and they
-# are drawn evenly, one request in 81 meets four of these in a row, and one in
-# 6,561 meets eight.
-MAX_UNREACHABLE = 8
-# Servers that may end under one request without using up its attempts.
-MAX_UNCOUNTED = 3
 # A silent server is given up after so many times the route's target, if the
 # request may run again: the caller still gets its answer from another one.
 PATIENCE_FACTOR = 3.0
@@ -82,10 +72,7 @@
         self.sent = 0
         self.may_have_run = False
         self._router = router
-        self._runs = 0
-        self._declined = 0
-        self._unreachable = 0
-        self._uncounted = 0  # Attempts whose servers ended beside the request.
+        self._counts = attempt_counts.AttemptCounts()
         self._begun = False  # Whether the caller has part of an answer.
         self._escalating = False
         self._settled = False  # Whether a small answer will do by now.
@@ -126,7 +113,7 @@
         chooses = request.prompt and request.prompt.model == cascade.ANY_MODEL
         if not chooses or self._settled or not request.route.may_run_again:
             return None
-        if self._runs + 1 >= request.route.max_attempts:
+        if self._counts.runs + 1 >= request.route.max_attempts:
             return None
         largest = request.route.sizes[-1] if request.route.sizes else ""
         better = cascade.next_size(
@@ -190,27 +177,15 @@
 
     def _note_end(self, event: messages.AttemptEnded) -> None:
         outcome = outcomes.OUTCOME_BY_STATE[event.state]
-        if event.state is _State.UNSENT:
-            self._unreachable += 1
-            return
-        if outcome is outcomes.Outcome.NOT_RUN:
-            self._declined += 1
-            return
-        self.may_have_run = True
-        if event.server_ended and self._is_uncounted():
-            self._uncounted += 1
-            return
-        self._runs += 1
-
-    def _is_uncounted(self) -> bool:
-        """Returns whether a server's end uses up none of the attempts.
-
-        A request that merely ran there is not to be given up for it.
-        """
-        if self._uncounted >= MAX_UNCOUNTED:
-            return False
+        if outcome is not outcomes.Outcome.NOT_RUN:
+            self.may_have_run = True
         suspects = self._router.suspects
-        return not suspects.is_likely_cause(self.request.fingerprint)
+        # A request that merely ran where a server ended is not to be given up
+        # for it.
+        is_beside = event.server_ended and not suspects.is_likely_cause(
+            self.request.fingerprint
+        )
+        self._counts.note(event.state, is_beside=is_beside)
 
     def _is_quarantined(self, now: float) -> bool:
         return self._router.suspects.is_quarantined(
@@ -221,27 +196,15 @@
         request = self.request
         if request.deadline - now < LEAST_TIME:
             return False
-        if self._runs >= request.route.max_attempts:
-            return False
-        if self._declined > MAX_DECLINED:
-            return False
-        if self._unreachable >= MAX_UNREACHABLE:
+        if not self._counts.allow_another(request.route.max_attempts):
             return False
         # A server's whole answer that it failed is no answer to the caller.
         reached = _State.ANSWERING if state is _State.ANSWERED else state
         if not outcomes.may_resend(reached, request.route.may_run_again):
             return False
-        return not self._has_arrived or self._router.may_repeat(request, now)
-
-    @property
-    def _has_arrived(self) -> bool:
-        """Whether a server has got the request.
-
-        The budget is for what servers get more than once. While a quarter of
-        them were dead, no server had got 1,093 of 1,335 requests that were
-        refused as not run (a log of a played day, 84 hosts).
-        """
-        return self._runs + self._uncounted + self._declined > 0
+        if not self._counts.has_arrived:
+            return True
+        return self._router.may_repeat(request, now)
 
     @_on.register
     def _(self, event: messages.DeadlineReached, now: float) -> messages.Effect:
@@ -276,7 +239,7 @@
             self._router.begin_attempt(self.request, work_class, now),
             self.request.deadline,
             self._patience(now),
-            self._has_arrived,
+            self._counts.has_arrived,
             runs.Run(self.request.fingerprint),
         )
         self._router.note_sent(self.request, send, now)
@@ -313,7 +276,7 @@
 
     def _patience(self, now: float) -> float | None:
         route = self.request.route
-        last = self._runs + 1 >= route.max_attempts
+        last = self._counts.runs + 1 >= route.max_attempts
         if last or not route.may_run_again:
             return None
         if route.kind is configuration.RouteKind.STREAM:
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -8,22 +8,19 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
-from hoistmoor.core.relay.answers import delays as delays_lib
 from hoistmoor.core.relay.answers import pace as pace_lib
 from hoistmoor.core.relay.course import budget
 from hoistmoor.core.relay.course import retry_after
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
+from hoistmoor.core.relay.placement import service_state
 from hoistmoor.core.relay.servers import access
 from hoistmoor.core.relay.servers import fleet as fleet_lib
-from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import serials as serials_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects as suspects_lib
-from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.relay.versions import rollouts
 
 if TYPE_CHECKING:
@@ -37,67 +34,6 @@
     _NoteEnd = Callable[[requests.RelayRequest, messages.Send, float], None]
 
 
-WORK_STEP = 0.02  # Weight of the newest request in the mean work of one.
-
-
-@attrs.frozen
-class Bounds:
-    """Bounds that the operators set for the relay.
-
-    Attributes:
-        repeat_ratio: Repeats for each request to a service.
-        repeat_window: Seconds over which both are counted.
-        repeat_spare: Repeats a host may make with no request at all.
-        repeat_slack: Repeats that all hosts together may make so; None if the
-            operators set no bound.
-        session_life: Seconds after its last request that a session lives.
-        warmup_excess: What cold servers may get beyond their rates.
-        longest_rest: Seconds that a server may ask a host to leave it alone.
-    """
-
-    repeat_ratio: float = 0.2
-    repeat_window: float = 10.0
-    repeat_spare: float = 3.0
-    repeat_slack: float | None = None
-    session_life: float = 5.0
-    warmup_excess: warmup.Excess = attrs.field(factory=warmup.Excess)
-    longest_rest: float = rests.LONGEST
-
-
-@attrs.define
-class _ServiceState:
-    """What this host counts for one service.
-
-    Attributes:
-        budget: Repeats that it has earned.
-        partition: Its classes of work.
-        delays: How long its classes wait for their first part.
-        mean_work: Usual work of a request; 0 before the first.
-        lacking_since: Steady time since which no server was ready for any
-            request; None where one was for the newest.
-    """
-
-    budget: budget.RepeatBudget
-    partition: partition_lib.Partition = attrs.field(
-        factory=partition_lib.Partition
-    )
-    delays: delays_lib.FirstDelays = attrs.field(factory=delays_lib.FirstDelays)
-    mean_work: float = 0.0
-    lacking_since: float | None = None
-
-    def note_ready(self, is_ready: bool, now: float) -> None:
-        """Notes whether some server was ready for a request."""
-        if is_ready:
-            self.lacking_since = None
-        elif self.lacking_since is None:
-            self.lacking_since = now
-
-    def note_work(self, work: float) -> None:
-        """Takes a request's work into the mean."""
-        known = self.mean_work or work
-        self.mean_work = known + WORK_STEP * (work - known)
-
-
 class Router:
     """What this host knows of backend servers, and its choices.
 
@@ -111,13 +47,17 @@
     """
 
     def __init__(
-        self, zone: str, bounds: Bounds, draws: hashing.Draws, own: str = ""
+        self,
+        zone: str,
+        bounds: bounds_lib.Bounds,
+        draws: hashing.Draws,
+        own: str = "",
     ) -> None:
         """Makes a router that knows no server yet.
 
         Args:
             zone: Failure domain of this host.
-            bounds: Bounds that the operators set.
+            bounds: bounds_lib.Bounds that the operators set.
             draws: Source of randomness.
             own: Name of this host.
         """
@@ -132,7 +72,7 @@
         self.zone = zone
         self._bounds = bounds
         self._draws = draws
-        self._services: dict[str, _ServiceState] = {}
+        self._services: dict[str, service_state.ServiceState] = {}
         # What an attempt's end tells of its server; one that was given up
         # here tells nothing.
         self._endings: dict[pace_lib.AttemptOutcome, _NoteEnd] = {
@@ -143,7 +83,7 @@
             pace_lib.AttemptOutcome.UNREACHABLE: self._note_unreachable,
         }
 
-    def take_bounds(self, bounds: Bounds) -> None:
+    def take_bounds(self, bounds: bounds_lib.Bounds) -> None:
         """Puts other bounds in force; what was counted stays."""
         self._bounds = bounds
         self.rollouts.sessions.life = bounds.session_life
@@ -436,11 +376,11 @@
                 slow,
             )
 
-    def _service(self, name: str) -> _ServiceState:
+    def _service(self, name: str) -> service_state.ServiceState:
         known = self._services.get(name)
         if known is None:
             bounds = self._bounds
-            known = _ServiceState(
+            known = service_state.ServiceState(
                 budget.RepeatBudget(
                     bounds.repeat_ratio,
                     bounds.repeat_window,
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -11,6 +11,7 @@
 from hoistmoor.clients import sessions
 from hoistmoor.core.relay.beliefs import freshness
 from hoistmoor.core.relay.beliefs import mirror
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import warmup
@@ -23,7 +24,7 @@
 from hoistmoor.relay import suspension
 from hoistmoor.relay.front import admission
 from hoistmoor.relay.front import front as front_lib
-from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.front import server_ends
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
@@ -67,7 +68,7 @@
         self,
         settings: settings_lib.RelaySettings,
         platform: ports.Platform,
-        backends: relay_task.BackendSessions,
+        backends: links_lib.BackendSessions,
         peer_session: aiohttp.ClientSession,
         read_settings: Callable[[], settings_lib.RelaySettings],
         clock: Callable[[], float] = clocks.steady,
@@ -109,7 +110,7 @@
         self.front = front_lib.Front(
             self.state,
             admission.Admission(self.state, platform.headers, draws),
-            relay_task.Links(
+            links_lib.Links(
                 backends,
                 platform.headers,
                 dialect,
@@ -210,8 +211,8 @@
         await self._serving.serve(stop)
 
 
-def _bounds(settings: settings_lib.RelaySettings) -> router_lib.Bounds:
-    return router_lib.Bounds(
+def _bounds(settings: settings_lib.RelaySettings) -> bounds_lib.Bounds:
+    return bounds_lib.Bounds(
         repeat_ratio=settings.repeat_ratio,
         repeat_window=settings.repeat_window,
         repeat_spare=settings.repeat_spare,
@@ -243,13 +244,13 @@
         platform = connect(platform_session)
         open_to_servers = functools.partial(
             sessions.make_session,
-            connect_timeout=relay_task.CONNECT_TIMEOUT,
+            connect_timeout=links_lib.CONNECT_TIMEOUT,
             total_timeout=None,
             idle_timeout=IDLE_TO_SERVERS,
             attempt_header=platform.headers.request_id,
             unanswered_timeout=UNANSWERED,
         )
-        backends = relay_task.BackendSessions(
+        backends = links_lib.BackendSessions(
             await stack.enter_async_context(open_to_servers()),
             await stack.enter_async_context(
                 open_to_servers(reuse_connections=False)
--- a/src/hoistmoor/relay/front/front.py
+++ b/src/hoistmoor/relay/front/front.py
@@ -14,6 +14,7 @@
 from hoistmoor.core.relay.course import retry_after
 from hoistmoor.relay.front import admission as admission_lib
 from hoistmoor.relay.front import caller_answer
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.front import relay_task
 
 if TYPE_CHECKING:
@@ -36,7 +37,7 @@
         self,
         state: state_lib.RelayState,
         admission: admission_lib.Admission,
-        links: relay_task.Links,
+        links: links_lib.Links,
         draws: hashing.Draws,
     ) -> None:
         self.running: set[asyncio.Task[Any]] = set()
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -5,10 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
-import attrs
-
-from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import exchange as exchange_lib
 from hoistmoor.clients import exchange_errors
 from hoistmoor.core import outcomes
@@ -17,12 +13,9 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
-from hoistmoor.relay import suspension
 from hoistmoor.relay.front import attempt as attempt_lib
-from hoistmoor.relay.front import forwarding
-from hoistmoor.relay.front import header_names
 from hoistmoor.relay.front import header_values
-from hoistmoor.relay.front import server_ends
+from hoistmoor.relay.front import request_line
 from hoistmoor.relay.front import server_reports
 
 if TYPE_CHECKING:
@@ -32,54 +25,13 @@
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.front import admission
     from hoistmoor.relay.front import caller_answer
+    from hoistmoor.relay.front import links as links_lib
 
 _State = outcomes.ExchangeState
 
 # Where an exchange ends so, the server is not at the request any more.
 _OVER = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
 
-CONNECT_TIMEOUT = 0.3  # Seconds; a lost opening packet is sent again after 1.
-
-
-@attrs.frozen
-class BackendSessions:
-    """Open connections to backend servers.
-
-    A server may drop a kept connection at any moment, and a request that was
-    on its way then may have run. So one that may run once only gets a new
-    connection: where that fails, it certainly has not run.
-
-    Attributes:
-        kept: Keeps its connections for the next requests.
-        fresh: Opens one for each request.
-    """
-
-    kept: aiohttp.ClientSession
-    fresh: aiohttp.ClientSession
-
-    def for_route(self, route: configuration.Route) -> aiohttp.ClientSession:
-        """Returns the session for a route's requests."""
-        return self.kept if route.may_run_again else self.fresh
-
-
-@attrs.frozen
-class Links:
-    """How servers are reached.
-
-    Attributes:
-        sessions: Open connections to them.
-        names: What headers are called.
-        dialect: How servers name an attempt and decline it.
-        ends: Tells which servers have ended.
-        deadlines: Has timers count suspensions of the machine.
-    """
-
-    sessions: BackendSessions
-    names: header_names.HeaderNames
-    dialect: dialect_lib.Dialect
-    ends: server_ends.ServerEnds
-    deadlines: suspension.Deadlines
-
 
 class RelayTask:
     """One request at this host."""
@@ -87,7 +39,7 @@
     def __init__(
         self,
         state: state_lib.RelayState,
-        links: Links,
+        links: links_lib.Links,
         head: admission.Head,
         request: requests.RelayRequest,
         body: bytes,
@@ -111,7 +63,7 @@
         while isinstance(effect, messages.Send):
             effect = await self._attempt(effect)
         response = await self._finish(effect)
-        self._note_end(effect)
+        request_line.note_end(self._state, self._request, effect, self._trail)
         return response
 
     def _now(self) -> float:
@@ -172,30 +124,13 @@
 
     def _open(self, send: messages.Send) -> attempt_lib.Attempt:
         now = self._now()
-        last_event = self._sequence.last_id if self._is_stream else None
-        request = exchange_lib.BackendRequest(
-            method=self._head.method,
-            url=f"http://{send.server.entry.address}{self._head.target}",
-            attempt_id=self._request.request_id,
-            headers=forwarding.to_server(
-                self._head.headers,
-                self._links.names,
-                self._request,
-                send,
-                last_event,
-                now,
-            ),
-            body=self._body,
-        )
-        exchange = exchange_lib.Exchange(
-            self._links.sessions.for_route(self._request.route),
-            request,
-            exchange_lib.Timeouts(
-                total=max(0.0, send.deadline - now),
-                connect=CONNECT_TIMEOUT,
-                silence=send.patience,
-            ),
-            self._links.dialect,
+        exchange = self._links.open_exchange(
+            self._head,
+            self._request,
+            send,
+            self._body,
+            self._sequence.last_id if self._is_stream else None,
+            now,
         )
         self._sequence.begin_run()
         self._state.server_beliefs.note_send(send.server)
@@ -354,36 +289,3 @@
         self._state.router.note_answer(
             self._request, attempt.send.server, measured
         )
-
-    def _note_end(self, effect: messages.Effect) -> None:
-        reason, outcome = _ending(effect)
-        took = self._now() - self._request.arrived
-        route = self._request.route
-        self._state.counters.answers.labels(reason, outcome).inc()
-        self._state.counters.durations.labels(route.name).observe(took)
-        is_plain = reason == "delivered" and len(self._trail) == 1
-        if is_plain and took <= route.target:
-            return
-        self._state.log.write(
-            "request",
-            id=self._request.request_id,
-            fingerprint=self._request.fingerprint,
-            route=route.name,
-            service=self._request.service,
-            account=self._request.account,
-            revision=self._request.revision,
-            age=round(self._state.lease.age(self._now()), 3),
-            took=round(took, 3),
-            reason=reason,
-            outcome=outcome,
-            attempts=self._trail,
-        )
-
-
-def _ending(effect: messages.Effect) -> tuple[str, str]:
-    """Returns reason and outcome, for logs and metrics."""
-    if isinstance(effect, messages.Refuse):
-        return effect.refusal.reason.value, effect.refusal.outcome.value
-    if isinstance(effect, messages.Break):
-        return "broken_off", outcomes.Outcome.UNKNOWN.value
-    return "delivered", outcomes.Outcome.DONE.value
--- a/tests/core/relay/conftest.py
+++ b/tests/core/relay/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 import relay_parts
 
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.routing import hashing
 
@@ -13,7 +14,7 @@
 def router() -> router_lib.Router:
     """A router with three servers of one service in three failure domains."""
     made = router_lib.Router(
-        "north", router_lib.Bounds(), hashing.Draws.seeded(1)
+        "north", bounds_lib.Bounds(), hashing.Draws.seeded(1)
     )
     for number in range(3):
         made.fleet.put(relay_parts.entry(f"s{number}", zone=f"z{number}"))
--- a/tests/core/relay/course/test_relay_budget.py
+++ b/tests/core/relay/course/test_relay_budget.py
@@ -11,6 +11,7 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.routing import hashing
 
@@ -21,7 +22,7 @@
 def router_of(own: str, hosts: list[str], slack: float) -> router_lib.Router:
     made = router_lib.Router(
         "north",
-        router_lib.Bounds(repeat_slack=slack),
+        bounds_lib.Bounds(repeat_slack=slack),
         hashing.Draws.seeded(1),
         own,
     )
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -13,6 +13,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.answers import pace
+from hoistmoor.core.relay.course import attempt_counts
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.servers import runs
@@ -164,7 +165,9 @@
             State.UNSENT,
             pace.AttemptOutcome.UNREACHABLE,
         )
-    assertions.assert_that(sends, matchers.Equals(machine_lib.MAX_UNREACHABLE))
+    assertions.assert_that(
+        sends, matchers.Equals(attempt_counts.MAX_UNREACHABLE)
+    )
     assertions.assert_that(
         refusal_of(effect).outcome, matchers.Equals(outcomes.Outcome.NOT_RUN)
     )
@@ -365,7 +368,7 @@
 
 @pytest.mark.parametrize(
     ("ends_before", "sends"),
-    [(0, 2 + machine_lib.MAX_UNCOUNTED), (2, 2)],
+    [(0, 2 + attempt_counts.MAX_UNCOUNTED), (2, 2)],
 )
 def test_an_end_uses_up_no_attempt_of_what_merely_ran_there(
     router: router_lib.Router, ends_before: int, sends: int
--- a/tests/core/relay/servers/test_relay_warmup.py
+++ b/tests/core/relay/servers/test_relay_warmup.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.answers import pace
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
@@ -171,7 +172,7 @@
     """A router with two engines, warm ones."""
     made = router_lib.Router(
         "north",
-        router_lib.Bounds(warmup_excess=EXCESS),
+        bounds_lib.Bounds(warmup_excess=EXCESS),
         hashing.Draws.seeded(1),
         "h1",
     )
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -18,7 +18,7 @@
 from hoistmoor.relay import application
 from hoistmoor.relay import serving
 from hoistmoor.relay import settings as settings_lib
-from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.store import followers
 
 if TYPE_CHECKING:
@@ -161,7 +161,7 @@
         relay = application.Relay(
             settings,
             platform.as_port(),
-            relay_task.BackendSessions(kept, fresh),
+            links_lib.BackendSessions(kept, fresh),
             kept,
             lambda: settings,
         )
--- a/tests/relay/peers/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -21,7 +21,7 @@
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
-from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.store import followers
 from hoistmoor.relay.versions import rollout_codec
@@ -112,7 +112,7 @@
     relay = application.Relay(
         settings,
         attrs.evolve(port, topics=topics),
-        relay_task.BackendSessions(session, session),
+        links_lib.BackendSessions(session, session),
         session,
         lambda: settings,
     )
--- a/tests/relay/relay_cluster.py
+++ b/tests/relay/relay_cluster.py
@@ -22,7 +22,7 @@
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
-from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.store import followers
 
 if TYPE_CHECKING:
@@ -216,7 +216,7 @@
         relay = application.Relay(
             settings,
             self.platform.as_port(),
-            relay_task.BackendSessions(self.peers, self.peers),
+            links_lib.BackendSessions(self.peers, self.peers),
             self.peers,
             lambda: settings,
         )
--- a/tests/relay/store/test_relay_store_gate.py
+++ b/tests/relay/store/test_relay_store_gate.py
@@ -16,7 +16,7 @@
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
 from hoistmoor.relay import settings as settings_lib
-from hoistmoor.relay.front import relay_task
+from hoistmoor.relay.front import links as links_lib
 from hoistmoor.relay.store import followers
 from hoistmoor.relay.store import store_gate
 
@@ -106,7 +106,7 @@
         relay = application.Relay(
             settings,
             platform.as_port(),
-            relay_task.BackendSessions(session, session),
+            links_lib.BackendSessions(session, session),
             session,
             lambda: settings,
         )
--- a/tests/relay_states.py
+++ b/tests/relay_states.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.routing import hashing
@@ -36,7 +37,7 @@
         log=event_log.EventLog("h1", clock, log_descriptor),
         counters=counters.Counters(),
         router=router_lib.Router(
-            "north", router_lib.Bounds(), hashing.Draws.seeded(1)
+            "north", bounds_lib.Bounds(), hashing.Draws.seeded(1)
         ),
         lease=freshness.ConfigurationLease(5.0),
         outstanding=outstanding.OutstandingWork(),
