Write each word of servers that nothing reads, once a name

A header of an answer that begins as servers' words do and that no part of the product reads is now written (server_word_unread), once for each name, 64 at most.

--- a/src/hoistmoor/core/relay/servers/reports.py
+++ b/src/hoistmoor/core/relay/servers/reports.py
@@ -47,6 +47,7 @@
         rest: Seconds for which it wants nothing from the host that it answers;
             None if it named none that can be read.
         unreadable: What stood in place of a word, by the word.
+        unread: Names of words, in lower case, that nothing here reads.
     """
 
     load: LoadReport | None = None
@@ -54,3 +55,4 @@
     is_leaving: bool = False
     rest: float | None = None
     unreadable: dict[Word, str] = attrs.field(factory=dict)
+    unread: tuple[str, ...] = ()
--- a/src/hoistmoor/platform/names.py
+++ b/src/hoistmoor/platform/names.py
@@ -25,6 +25,9 @@
     urgency="Hoistmoor-Request-Urgency",
     session="Session",
     last_event="Last-Event-Id",
+    word_prefixes=("hoistmoor-", "server-"),
+    # The answers' ids are checked; versions of weights are the store's.
+    needless=frozenset({"hoistmoor-instance-id", "hoistmoor-weight-versions"}),
     # Orders to an engine; a caller's own must not reach one.
     stripped=frozenset(
         {
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -45,6 +45,9 @@
         session: The caller's name for a session.
         last_event: Newest event of a stream that the caller has.
         stripped: Further headers that callers may not set, in lower case.
+        word_prefixes: Begin the names of what servers say, in lower case.
+        needless: Names of these, in lower case, that need not be read.
+        read: Names of these, in lower case, that are read or need not be.
     """
 
     request_id: str = "X-Request-Id"
@@ -65,6 +68,28 @@
     session: str = "X-Session"
     last_event: str = "Last-Event-Id"
     stripped: frozenset[str] = frozenset()
+    word_prefixes: tuple[str, ...] = ("x-server-",)
+    needless: frozenset[str] = frozenset()
+    read: frozenset[str] = attrs.field(init=False)
+
+    @read.default
+    def _(self) -> frozenset[str]:
+        """Returns names that are read or need not be, in lower case."""
+        names = (
+            self.request_id,
+            self.signature,
+            self.not_run,
+            self.load,
+            self.limit,
+            self.leaving,
+            self.confidence,
+        )
+        return frozenset(name.lower() for name in names) | self.needless
+
+    def is_unread(self, name: str) -> bool:
+        """Returns whether a header of an answer is a word nobody reads."""
+        lower = name.lower()
+        return lower.startswith(self.word_prefixes) and lower not in self.read
 
     @property
     def set_here(self) -> frozenset[str]:
--- a/src/hoistmoor/relay/front/server_reports.py
+++ b/src/hoistmoor/relay/front/server_reports.py
@@ -52,6 +52,7 @@
         leaving is not None and reports.Word.LEAVING not in unreadable,
         _number(rest, reports.Word.REST in unreadable),
         unreadable,
+        tuple(name for name in headers if names.is_unread(name)),
     )
 
 
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -18,6 +18,8 @@
     from hoistmoor.core.relay.servers import reports
     from hoistmoor.core.relay.servers import server as server_lib
 
+MOST_UNREAD = 64  # Names of words that are written, at most.
+
 
 class ServerBeliefs:
     """What this host believes of servers by their own word."""
@@ -41,6 +43,7 @@
         self._clock = clock
         self._believe = believe
         self._has_urgent_news = has_urgent_news
+        self._unread: set[str] = set()  # Names that were written.
 
     def take_report(
         self,
@@ -63,6 +66,8 @@
             server.load.note(report.load, server.in_flight, self._clock())
         for word, text in report.unreadable.items():
             self._note_unreadable(server, word, text)
+        for name in report.unread:
+            self._note_unread(server, name)
         self._take_limit(server, report, sent_at, is_success=is_success)
         if report.is_leaving:
             self._take_leaving(server)
@@ -180,6 +185,13 @@
             in_flight=server.in_flight,
         )
 
+    def _note_unread(self, server: server_lib.ServerState, name: str) -> None:
+        """Writes once for each name that servers say what nothing reads."""
+        if name in self._unread or len(self._unread) >= MOST_UNREAD:
+            return
+        self._unread.add(name)
+        self._write("server_word_unread", server, name=name)
+
     def _note_unreadable(
         self, server: server_lib.ServerState, word: str, text: str
     ) -> None:
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -11,6 +11,7 @@
 
 from hoistmoor.core.relay.servers import reports
 from hoistmoor.core.relay.servers import rests
+from hoistmoor.platform import names as platform_names
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.front import server_reports
 
@@ -224,3 +225,24 @@
         server.rest.left(harness.state.clock()),
         matchers.LessThan(rests.LONGEST + 1e-9),
     )
+
+
+def test_a_word_that_nothing_reads_is_named() -> None:
+    report = parse(
+        ("X-Server-Mood", "low"), ("X-Server-Limit", "3"), ("Server", "any")
+    )
+    assertions.assert_that(report.unread, matchers.Equals(("X-Server-Mood",)))
+    said = multidict.CIMultiDict(
+        [
+            ("Hoistmoor-Response-Signature", "s"),
+            ("Hoistmoor-Instance-Load", "1,0,8"),
+            ("Hoistmoor-Weight-Versions", "3"),
+            ("Server-Leaving", "1"),
+            ("Server-Limit", "2"),
+        ]
+    )
+    read = server_reports.parse_report(200, said, platform_names.HEADERS)
+    assertions.assert_that(read.unread, matchers.Equals(()))
+    said["Server-Wish"] = "tea"
+    read = server_reports.parse_report(200, said, platform_names.HEADERS)
+    assertions.assert_that(read.unread, matchers.Equals(("Server-Wish",)))
