--- a/tests/relay/test_relay_leaving_server.py
+++ b/tests/relay/test_relay_leaving_server.py
@@ -48,10 +48,11 @@
                 await cluster.call(number, b"first")
 
 
+@pytest.mark.parametrize("relays", [3, 7])
 async def test_a_leaving_server_gets_nothing_more(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, relays: int
 ) -> None:
-    async with relay_cluster.open_cluster(monkeypatch, 3, 3) as cluster:
+    async with relay_cluster.open_cluster(monkeypatch, relays, 3) as cluster:
         leaving = await cluster.find_wanted()
         leaving.words = LEAVES
         await call_until_known(cluster, leaving.server_id)
@@ -128,6 +129,34 @@
     relay_swarm.play(monkeypatch, scenario())
 
 
+@pytest.mark.parametrize("hosts", [7, 84])
+def test_a_server_may_leave_while_it_rests_and_names_a_limit(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        _, traffic = await engine_traffic.begin(hosts)
+        (engine,) = traffic.most_wanted(1)
+        engine.begin_limit(1.7)
+        await asyncio.sleep(4.0)
+        engine.rest = 3.0
+        await asyncio.sleep(4.0)
+        engine.is_leaving = True
+        await asyncio.sleep(4.0)
+        engine.rest = None
+        await asyncio.sleep(6.0)
+        assertions.assert_that(engine.after_leaving, matchers.Equals([]))
+        assertions.assert_that(engine.during_rest, matchers.Equals([]))
+        assertions.assert_that(
+            engine.most_in_a_window(),
+            matchers.LessThan(engine_traffic.allowed(1.7) + 1e-9),
+        )
+        assertions.assert_that(
+            traffic.share_served(), matchers.GreaterThan(0.99)
+        )
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
 def test_all_restarted_learn_it_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         swarm, traffic = await engine_traffic.begin(84)
--- a/tests/relay/test_relay_resting_server.py
+++ b/tests/relay/test_relay_resting_server.py
@@ -29,6 +29,8 @@
 from hoistmoor.core import refusals
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hoistmoor.relay import application
 
 RESTS = b"Retry-After: 600\r\n"
@@ -37,15 +39,16 @@
 AWAY = 9.0  # Seconds for which it turns all away.
 
 
+@pytest.mark.parametrize("relays", [3, 7])
 async def test_a_resting_server_gets_nothing(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, relays: int
 ) -> None:
     def has_room(relay: application.Relay) -> bool:
         """Whether what merely was full is tried again."""
         server = relay.state.router.fleet.servers[resting.server_id]
         return relay.state.clock() > server.health.full_until
 
-    async with relay_cluster.open_cluster(monkeypatch, 3, 3) as cluster:
+    async with relay_cluster.open_cluster(monkeypatch, relays, 3) as cluster:
         resting = await cluster.find_wanted()
         resting.words, resting.turns_away = RESTS, True
         async with asyncio.timeout(relay_cluster.PATIENCE):
@@ -127,3 +130,36 @@
         assertions.assert_that(len(traffic.refused), matchers.Equals(count))
 
     relay_swarm.play(monkeypatch, scenario())
+
+
+def store_away(swarm: relay_swarm.Swarm) -> None:
+    """No host hears the store."""
+    swarm.store.fault[""] = "silent"
+
+
+def third_cut_off(swarm: relay_swarm.Swarm) -> None:
+    """A third hears neither the store nor others, and serves on."""
+    cut = swarm.members[: len(swarm.members) // 3]
+    swarm.cut_off = frozenset(member.name for member in cut)
+    for member in cut:
+        swarm.store.fault[member.name] = "silent"
+
+
+@pytest.mark.parametrize("trouble", [store_away, third_cut_off])
+@pytest.mark.parametrize("hosts", [7, 84])
+def test_a_rest_is_kept_to_where_hosts_hear_little(
+    monkeypatch: pytest.MonkeyPatch,
+    hosts: int,
+    trouble: Callable[[relay_swarm.Swarm], None],
+) -> None:
+    async def scenario() -> None:
+        swarm, traffic = await engine_traffic.begin(hosts)
+        trouble(swarm)
+        resting = traffic.most_wanted(2)
+        for engine in resting:
+            engine.rest = REST
+        await asyncio.sleep(AWAY)
+        for engine in resting:
+            assertions.assert_that(engine.during_rest, matchers.Equals([]))
+
+    relay_swarm.play(monkeypatch, scenario())
