--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -212,15 +212,13 @@
 
         What it has said of itself holds on, however its entry comes and goes.
         """
-        state = self._removed.pop(entry.server_id, None)
-        if state is None:
+        before = self._removed.pop(entry.server_id, None)
+        if before is None:
             return None
-        if not _is_same_server(state.entry, entry):
-            self.departures.forget(state.entry.identity)
+        if not _is_same_server(before.entry, entry):
+            self.departures.forget(before.entry.identity)
             return None
-        state.entry = entry
-        state.lapsed_until = None
-        return state
+        return before.listed_again(entry)
 
     def _forget(self, state: server_lib.ServerState) -> None:
         server_id = state.entry.server_id
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -134,6 +134,20 @@
     rest: rests.RestBelief = attrs.field(factory=rests.RestBelief)
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
+    def listed_again(self, entry: ServerEntry) -> ServerState:
+        """Returns the same start whose entry had gone and has come back.
+
+        What it has said of itself holds on. The rest may be of a start that
+        tells no birth and has the name of this one.
+        """
+        return ServerState(
+            entry,
+            sends=self.sends,
+            limit=self.limit,
+            departure=self.departure,
+            rest=self.rest,
+        )
+
     def is_gone(self, now: float) -> bool:
         """Returns whether it has ended, as far as is known."""
         is_over = self.lapsed_until is not None and now >= self.lapsed_until
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -71,7 +71,7 @@
         self._take_limit(server, report, sent_at, is_success=is_success)
         if report.is_leaving:
             self._take_leaving(server)
-        if report.rest is not None:
+        if report.rest:
             self._take_rest(server, report.rest)
 
     def note_send(self, server: server_lib.ServerState) -> None:
--- a/tests/core/relay/servers/test_relay_rests.py
+++ b/tests/core/relay/servers/test_relay_rests.py
@@ -84,3 +84,13 @@
     made.remove("b")
     ready = made.ready("desk", {"v1"}, (), NOW + 3.0, 0.9)
     assertions.assert_that(len(ready), matchers.Equals(1))
+
+
+def test_a_rest_holds_on_while_the_entry_comes_and_goes() -> None:
+    made = fleet_lib.Fleet()
+    made.put(relay_parts.entry("a"))
+    made.servers["a"].rest.note(9.0, NOW)
+    made.remove("a")
+    made.put(relay_parts.entry("a"), NOW + 1.0)
+    ready = made.ready("desk", {"v1"}, (), NOW + 1.0)
+    assertions.assert_that(ready, matchers.Equals([]))
