--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -134,18 +134,21 @@
             now: Steady time.
         """
         service = request.service
-        # A session would change its version to and fro with what bars all
-        # servers of that for a moment.
-        besides = access.SHORT if request.session else frozenset()
+        usable = self.fleet.usable(service, now)
+        versions = {each.entry.version for each in usable}
+        if request.session:
+            # It would change its version to and fro with what bars all
+            # servers of that for a moment.
+            versions = self.fleet.versions(service, now, access.SHORT)
         allowed = self.rollouts.choose(
             service,
-            self.fleet.versions(service, now, besides),
+            versions,
             request.session,
             failed,
             now,
         )
-        ready = self.fleet.ready(
-            service, allowed, excluded, now, self._draws.unit()
+        ready = self.fleet.ready_of(
+            usable, allowed, excluded, now, self._draws.unit()
         )
         self._service(service).note_ready(bool(ready), now)
         if request.prompt is None:
--- a/src/hoistmoor/core/relay/servers/access.py
+++ b/src/hoistmoor/core/relay/servers/access.py
@@ -1,8 +1,8 @@
 """Whether a server may get a request of this host now, and if not, when.
 
 One table of what may keep it from a server: each row asks one belief and
-returns the seconds for which that still holds. Whoever chooses a server asks
-here, and so does whoever has to tell a refused caller when to come back.
+returns the seconds for which that still holds, if any. Whoever chooses a server
+asks here, and so does whoever has to tell a refused caller when to come back.
 """
 
 from __future__ import annotations
@@ -56,6 +56,8 @@
 class Access:
     """The table, for one host.
 
+    It is asked for each server with each request, so its rows are cheap.
+
     Attributes:
         evacuated: Failure domains whose servers get no new work.
     """
@@ -63,14 +65,14 @@
     def __init__(self, room: room_lib.Room) -> None:
         self.evacuated: frozenset[str] = frozenset()
         # In this order: what is cheap to ask, and bars most, comes first.
-        self._waits: dict[Bar, _Wait] = {
-            Bar.GONE: _wait_for_return,
-            Bar.LEAVING: _wait_for_departure,
-            Bar.EVACUATED: self._wait_for_evacuation,
-            Bar.RESTING: _wait_for_rest,
-            Bar.COLD: room.wait_for_cold,
-            Bar.LIMITED: room.wait_for_limit,
-        }
+        self._rows: tuple[tuple[Bar, _Wait], ...] = (
+            (Bar.GONE, _wait_for_return),
+            (Bar.LEAVING, _wait_for_departure),
+            (Bar.EVACUATED, self._wait_for_evacuation),
+            (Bar.RESTING, _wait_for_rest),
+            (Bar.COLD, room.wait_for_cold),
+            (Bar.LIMITED, room.wait_for_limit),
+        )
 
     def may_get(
         self,
@@ -85,10 +87,10 @@
             now: Steady time.
             besides: What does not count.
         """
-        return not any(
-            bar not in besides and wait(state, now) > 0.0
-            for bar, wait in self._waits.items()
-        )
+        for bar, wait in self._rows:
+            if wait(state, now) > 0.0 and bar not in besides:
+                return False
+        return True
 
     def outlook(
         self, servers: Iterable[server_lib.ServerState], now: float
@@ -109,15 +111,15 @@
     def _longest(
         self, state: server_lib.ServerState, now: float
     ) -> Outlook | None:
-        waits = [
-            Outlook(bar, wait(state, now)) for bar, wait in self._waits.items()
-        ]
+        waits = [Outlook(bar, wait(state, now)) for bar, wait in self._rows]
         longest = max(waits, key=lambda each: each.wait)
         return longest if longest.wait > 0.0 else None
 
     def _wait_for_evacuation(
         self, state: server_lib.ServerState, now: float
     ) -> float:
+        if not self.evacuated:
+            return 0.0
         return FOR_GOOD if state.entry.zone in self.evacuated else 0.0
 
 
@@ -130,4 +132,4 @@
 
 
 def _wait_for_rest(state: server_lib.ServerState, now: float) -> float:
-    return state.rest.left(now)
+    return state.rest.until - now
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -297,12 +297,34 @@
             draw: Random number of the request, 0 to 1; servers that come back
                 from a rest are for those with a small one.
         """
+        return self.ready_of(
+            self.usable(service, now), versions, excluded, now, draw
+        )
+
+    def usable(self, service: str, now: float) -> list[server_lib.ServerState]:
+        """Returns the servers of a service that nothing keeps work from."""
+        may_get = self.access.may_get
+        return [
+            each for each in self._servers_of(service) if may_get(each, now)
+        ]
+
+    def ready_of(
+        self,
+        usable: Iterable[server_lib.ServerState],
+        versions: Container[str],
+        excluded: Container[str],
+        now: float,
+        draw: float,
+    ) -> list[server_lib.ServerState]:
+        """Returns those of the usable servers that may get new work.
+
+        See ``ready``.
+        """
         pool = [
             each
-            for each in self._servers_of(service)
+            for each in usable
             if each.entry.version in versions
             and each.entry.identity not in excluded
-            and self.access.may_get(each, now)
         ]
         # While others are left, a server that may come back cold is tried by
         # those hosts alone that may send to cold ones, and one that comes back
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -150,11 +150,14 @@
 
     def is_gone(self, now: float) -> bool:
         """Returns whether it has ended, as far as is known."""
-        is_over = self.lapsed_until is not None and now >= self.lapsed_until
-        return is_over or now < self.absent_until
+        if now < self.absent_until:
+            return True
+        return self.lapsed_until is not None and now >= self.lapsed_until
 
     def leaves(self, now: float) -> bool:
         """Returns whether it is about to end, by the store or its own word."""
+        if self.departure.said_at is None:
+            return self.entry.is_leaving
         if self.entry.is_leaving:
             return True
         return self.departure.holds(self.entry.born, now)
