Bind no start of a server by what one of the same name said before

Starts that tell no birth share an identity: a late answer of the one before, or another host's older word of it, would have kept work from the one that had followed at another address. A start knows when it followed another one; what was said before, or by an answer to a request to the other one, is not its own. Found by reading; each way has a test. The test that nothing of the start before is left compares the whole state as before, with that moment in it.

--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -52,6 +52,25 @@
     )
 
 
+def _following(
+    before: server_lib.ServerState | None,
+    entry: server_lib.ServerEntry,
+    now: float,
+) -> server_lib.ServerState:
+    """Returns the state of a start that is listed.
+
+    Args:
+        before: The start that was last listed by its name; None for none.
+        entry: Its entry.
+        now: Steady time.
+    """
+    if before is None:
+        return server_lib.ServerState(entry)
+    if _is_same_server(before.entry, entry):
+        return before.listed_again(entry)
+    return server_lib.ServerState(entry, followed_at=now)
+
+
 class Fleet:
     """All backend servers that are listed.
 
@@ -113,7 +132,7 @@
         if newest is not None and entry.is_older_than(newest.entry):
             return False
         if known is None or not _is_same_server(known.entry, entry):
-            self._replace(known, entry)
+            self._replace(known, entry, now)
             self._note_cold(entry, now)
             return True
         changed = known.entry != entry or known.lapsed_until is not None
@@ -147,8 +166,10 @@
         newest = self.servers.get(server_id) or self._removed.get(server_id)
         if newest is not None and newest.entry.is_after(identity):
             return False
-        is_news = self.departures.note(identity, at)
         server = self.find(identity)
+        if server is not None and at < server.followed_at:
+            return False
+        is_news = self.departures.note(identity, at)
         return (server.departure.note(at) if server else False) or is_news
 
     def evacuate(self, zones: frozenset[str], now: float) -> None:
@@ -193,11 +214,14 @@
         self,
         known: server_lib.ServerState | None,
         entry: server_lib.ServerEntry,
+        now: float,
     ) -> None:
         if known is not None:
-            self._forget(known)
-            self.departures.forget(known.entry.identity)
-        state = self._revived(entry) or server_lib.ServerState(entry)
+            self.remove(entry.server_id)
+        before = self._removed.pop(entry.server_id, None)
+        state = _following(before, entry, now)
+        if before is not None and state.departure is not before.departure:
+            self.departures.forget(before.entry.identity)
         said_at = self.departures.said_at(entry.identity)
         if said_at is not None:
             state.departure.note(said_at)
@@ -205,21 +229,6 @@
         pool = self._by_service.setdefault(entry.service, {})
         pool[entry.server_id] = state
 
-    def _revived(
-        self, entry: server_lib.ServerEntry
-    ) -> server_lib.ServerState | None:
-        """Returns what is known of a start that was listed before.
-
-        What it has said of itself holds on, however its entry comes and goes.
-        """
-        before = self._removed.pop(entry.server_id, None)
-        if before is None:
-            return None
-        if not _is_same_server(before.entry, entry):
-            self.departures.forget(before.entry.identity)
-            return None
-        return before.listed_again(entry)
-
     def _forget(self, state: server_lib.ServerState) -> None:
         server_id = state.entry.server_id
         del self.servers[server_id]
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -104,6 +104,8 @@
             answers at its address.
         sends: Requests that this host sent to it lately.
         runs: This host's requests that it may be at.
+        followed_at: Steady time at which it followed another start that was
+            known; what was said by its name before was said by that one.
         has_ended: Whether this start of it is over, as this host found.
         limit: What it takes from all hosts together.
         departure: Whether it has said that it leaves.
@@ -126,6 +128,7 @@
     absent_until: float = float("-inf")
     sends: shares_lib.RecentSends = attrs.field(factory=shares_lib.RecentSends)
     runs: runs_lib.RunList = attrs.field(factory=runs_lib.RunList)
+    followed_at: float = float("-inf")
     has_ended: bool = False
     limit: limits_lib.LimitBelief = attrs.field(factory=limits_lib.LimitBelief)
     departure: departures.DepartureBelief = attrs.field(
@@ -144,6 +147,7 @@
             entry,
             sends=self.sends,
             limit=self.limit,
+            followed_at=self.followed_at,
             departure=self.departure,
             rest=self.rest,
         )
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -119,9 +119,10 @@
 
     def _take_leaving(self, server: server_lib.ServerState) -> None:
         identity = server.entry.identity
-        # An answer of a start that another one has followed tells of that
-        # start alone.
         server.departure.note(self._clock())
+        listed = self._fleet.find(identity)
+        if listed and listed.departure is not server.departure:
+            return  # Another start that has its name must not pay for it.
         if self._fleet.note_departure(identity, self._clock()):
             self._note_departure(identity, 0.0, told=False)
 
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -39,10 +39,13 @@
 
 def test_nothing_of_the_start_before_is_left(fleet: fleet_lib.Fleet) -> None:
     old = fleet.servers["a"]
-    news = fleet.put(entry(born=2000, sequence=1))
+    news = fleet.put(entry(born=2000, sequence=1), NOW)
     assertions.assert_that(news, matchers.Is(True))
     found = fleet.servers["a"]
-    fresh = server_lib.ServerState(entry(born=2000, sequence=1))
+    # But for when it followed the other one.
+    fresh = server_lib.ServerState(
+        entry(born=2000, sequence=1), followed_at=NOW
+    )
     assertions.assert_that(
         attrs.asdict(found), matchers.Equals(attrs.asdict(fresh))
     )
@@ -225,3 +228,20 @@
     ages, _ = made.departures.news(0, NOW)
     assertions.assert_that(ages, matchers.Equals({}))
     assertions.assert_that(ready_names(made, NOW), matchers.Equals(["a", "b"]))
+
+
+def test_words_of_the_start_before_do_not_bind_one_of_the_same_name() -> None:
+    made = leaving_fleet()
+    made.note_departure("a", NOW)
+    made.put(relay_parts.entry("a", address="127.0.0.1:2"), NOW + 1.0)
+    # Another host has not read of the new start yet.
+    assertions.assert_that(
+        made.note_departure("a", NOW + 0.5), matchers.Is(False)
+    )
+    assertions.assert_that(
+        ready_names(made, NOW + 1.0), matchers.Equals(["a", "b"])
+    )
+    assertions.assert_that(
+        made.note_departure("a", NOW + 2.0), matchers.Is(True)
+    )
+    assertions.assert_that(ready_names(made, NOW + 2.0), matchers.Equals(["b"]))
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -6,6 +6,7 @@
 
 import multidict
 import pytest
+import relay_parts
 from testtools import assertions
 from testtools import matchers
 
@@ -246,3 +247,23 @@
     said["Server-Wish"] = "tea"
     read = server_reports.parse_report(200, said, platform_names.HEADERS)
     assertions.assert_that(read.unread, matchers.Equals(("Server-Wish",)))
+
+
+async def test_a_late_answer_of_the_start_before_binds_nobody(
+    harness: Harness,
+) -> None:
+    await harness.add_backend("s1", Speaker())
+    fleet, beliefs = harness.state.router.fleet, harness.state.server_beliefs
+    before = fleet.servers["s1"]
+    fleet.put(relay_parts.entry("s1", address="127.0.0.1:9"), 0.0)
+    beliefs.take_report(
+        before,
+        reports.ServerReport(is_leaving=True, rest=9.0),
+        0.0,
+        is_success=True,
+    )
+    now = harness.state.clock()
+    assertions.assert_that(fleet.servers["s1"].leaves(now), matchers.Is(False))
+    assertions.assert_that(
+        fleet.servers["s1"].rest.left(now), matchers.Equals(0.0)
+    )
