Tell a refused caller when a cold replacement may take its request

Where all servers of a service leave and the one that follows them is cold with no room, callers were told half a second, whatever the time. Now it is the time until its room comes back, or until it is warm.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -46,6 +46,7 @@
 
 # What may keep a request from all servers, where the caller is told of it.
 _REASON_BY_BAR = {
+    access.Bar.COLD: refusals.Reason.NO_CAPACITY,
     access.Bar.LEAVING: refusals.Reason.SERVERS_LEAVING,
     access.Bar.LIMITED: refusals.Reason.SERVERS_LIMITED,
     access.Bar.RESTING: refusals.Reason.SERVERS_RESTING,
--- a/src/hoistmoor/core/relay/servers/room.py
+++ b/src/hoistmoor/core/relay/servers/room.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -36,20 +37,27 @@
 
         Where this host is none of those that send to it, some other one has.
         """
-        if now >= state.cold_until or self.has_for_cold(state, now):
+        if now >= state.cold_until:
             return 0.0
-        return state.cold_until - now
+        return min(self._wait_while_cold(state, now), state.cold_until - now)
 
     def has_for_cold(self, state: server_lib.ServerState, now: float) -> bool:
         """Returns whether this host may send one more to a cold server."""
+        return not self._wait_while_cold(state, now)
+
+    def _wait_while_cold(
+        self, state: server_lib.ServerState, now: float
+    ) -> float:
         entry = state.entry
         warmup = self.warmups.of(entry.service)
         if warmup is None:
-            return True  # It is slow for a while, and may be used as any.
+            return 0.0  # It is slow for a while, and may be used as any.
         part = self.shares.part_of(entry.identity, warmup.shared)
-        if not part.own:
-            return False
-        return not state.sends.wait(part.own, warmup_lib.WINDOW, now)
+        if part.own:
+            return state.sends.wait(part.own, warmup_lib.WINDOW, now)
+        return (
+            warmup_lib.WINDOW / part.all_hosts if part.all_hosts else math.inf
+        )
 
     def wait_for_limit(
         self, state: server_lib.ServerState, now: float
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -13,6 +13,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
 from hoistmoor.core.relay.answers import pace
+from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import attempt_counts
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
@@ -488,3 +489,22 @@
     assertions.assert_that(waits, matchers.Equals(sorted(waits)))
     assertions.assert_that(waits[0], matchers.LessThan(0.7))
     assertions.assert_that(waits[-1], matchers.GreaterThan(2.0))
+
+
+def test_a_replacement_that_is_cold_tells_when_to_come_back(
+    router: router_lib.Router,
+) -> None:
+    for server in router.fleet:
+        server.departure.note(NOW)
+    service = configuration.Service(
+        "desk", 10, warmup_duration=9.0, warmup_rate=1.0
+    )
+    router.fleet.warmups.take_services({"desk": service})
+    router.fleet.put(relay_parts.entry("new", warm_in=4.0), NOW)
+    # No host may send one: its rate is less than one in a window.
+    _, effect = start(router, relay_parts.CONFIRM)
+    refusal = refusal_of(effect)
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.NO_CAPACITY)
+    )
+    assertions.assert_that(refusal.retry_after, matchers.Equals(4.0))
