--- a/src/hoistmoor/relay/front/server_reports.py
+++ b/src/hoistmoor/relay/front/server_reports.py
@@ -18,7 +18,7 @@
     from hoistmoor.relay.front import header_names
 
 # Digits, with a fraction or none; no sign, no exponent, no word for infinity.
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?|\.\d{1,9}", re.ASCII)
 _YES = re.compile("1")
 RETRY_AFTER = "Retry-After"  # RFC 9110, 10.2.3; here in seconds, no date.
 TURNED_AWAY = 503  # The status with which it asks for rest.
--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -44,7 +44,19 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["", "-1", "+2", "nan", "inf", "1e3", "2,5", "1.7, 3", "soon", "9" * 400],
+    [
+        "",
+        "-1",
+        "+2",
+        "nan",
+        "inf",
+        "1e3",
+        "2,5",
+        "1.7, 3",
+        "soon",
+        "\u0663",
+        "9" * 400,
+    ],
 )
 def test_other_texts_are_no_limit(text: str) -> None:
     report = parse(("X-Server-Limit", text), ("X-Load", "3,0,8"))
