--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -59,8 +59,14 @@
 
     async def run(self) -> web.StreamResponse:
         """Returns the final answer, sent."""
+        sessions = self._state.router.rollouts.sessions
+        version = sessions.version_of(self._request.session, self._now())
         effect = self._machine.handle(messages.Started(), self._now())
         while isinstance(effect, messages.Send):
+            request_line.note_version(
+                self._state, self._request, effect, version
+            )
+            version = effect.server.entry.version
             effect = await self._attempt(effect)
         response = await self._finish(effect)
         request_line.note_end(self._state, self._request, effect, self._trail)
--- a/src/hoistmoor/relay/front/request_line.py
+++ b/src/hoistmoor/relay/front/request_line.py
@@ -1,4 +1,4 @@
-"""Counts a request that has ended, and writes its line."""
+"""Writes the lines of a request, and counts it once it has ended."""
 
 from __future__ import annotations
 
@@ -12,6 +12,42 @@
     from hoistmoor.relay import state as state_lib
 
 
+def note_version(
+    state: state_lib.RelayState,
+    request: requests.RelayRequest,
+    send: messages.Send,
+    before: str | None,
+) -> None:
+    """Writes the version that a session's attempt goes to.
+
+    While a roll-out goes on, or where it is another one than before: then the
+    lines of all hosts tell together how a session went.
+
+    Args:
+        state: What this host knows.
+        request: The request.
+        send: The attempt.
+        before: Version of the session, as far as this host knows.
+    """
+    if not request.session:
+        return
+    version = send.server.entry.version
+    progress = state.router.rollouts.progress.get(request.service)
+    is_settled = progress is None or progress.phase.is_final
+    if is_settled and before in (None, version):
+        return
+    state.log.write(
+        "session_sent",
+        id=request.request_id,
+        session=request.session,
+        service=request.service,
+        version=version,
+        before=before,
+        order=progress.order.number if progress else None,
+        phase=progress.phase.value if progress else None,
+    )
+
+
 def note_end(
     state: state_lib.RelayState,
     request: requests.RelayRequest,
--- /dev/null
+++ b/tests/relay/front/test_relay_request_line.py
@@ -0,0 +1,83 @@
+"""Lines that tell how a session went over the versions of a service."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import orjson
+import pytest
+import relay_parts
+import relay_states
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.versions import phases
+from hoistmoor.relay.front import request_line
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hoistmoor.relay import state as state_lib
+
+
+@pytest.fixture
+def lines() -> Iterator[tuple[state_lib.RelayState, int]]:
+    """A host's state, and where its lines can be read."""
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield relay_states.fresh(relay_states.Clock(), writing), reading
+    os.close(reading)
+    os.close(writing)
+
+
+def send_to(version: str) -> messages.Send:
+    server = server_lib.ServerState(relay_parts.entry(version=version))
+    return messages.Send(
+        server, "", partition.WorkClass(0, 1, is_long=False), 1, 101.0
+    )
+
+
+def read(descriptor: int) -> list[dict[str, object]]:
+    try:
+        data = os.read(descriptor, 65536)
+    except BlockingIOError:
+        return []
+    return [orjson.loads(line) for line in data.splitlines()]
+
+
+def test_a_change_of_a_sessions_version_is_written(
+    lines: tuple[state_lib.RelayState, int],
+) -> None:
+    state, written = lines
+    request = relay_parts.request(session="s1")
+    request_line.note_version(state, request, send_to("v1"), None)
+    request_line.note_version(state, request, send_to("v1"), "v1")
+    plain = relay_parts.request()
+    request_line.note_version(state, plain, send_to("v2"), "v1")
+    assertions.assert_that(read(written), matchers.Equals([]))
+    request_line.note_version(state, request, send_to("v2"), "v1")
+    (line,) = read(written)
+    told = {key: line[key] for key in ("session", "before", "version")}
+    assertions.assert_that(
+        told,
+        matchers.Equals({"session": "s1", "before": "v1", "version": "v2"}),
+    )
+
+
+def test_each_request_of_a_session_is_written_during_a_roll_out(
+    lines: tuple[state_lib.RelayState, int],
+) -> None:
+    state, written = lines
+    order = phases.Order("desk", "v2", 60.0, 7)
+    state.router.rollouts.take_order(order, 100.0)
+    request = relay_parts.request(session="s1")
+    request_line.note_version(state, request, send_to("v1"), "v1")
+    (line,) = read(written)
+    told = {key: line[key] for key in ("version", "order", "phase")}
+    assertions.assert_that(
+        told, matchers.Equals({"version": "v1", "order": 7, "phase": "trial"})
+    )
