Say once what is told once each, and who may get a request

Found by reading the whole change; behaviour stays.

- Serials.batch holds the rule of what is told once (what is new, oldest first, so many at most, up to which number); suspects and departures each had it, and news_exchange looked a third time whether anything is new.
Router's bounds are taken in one place.
- Access.outlook asks may_get, so that no bars need no case of their own; ServerState.leaves is one expression.
- Doc comments: a name that a replacement had broken; the case of unread names.

--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -57,14 +57,12 @@
 
         Args:
             zone: Failure domain of this host.
-            bounds: bounds_lib.Bounds that the operators set.
+            bounds: Bounds that the operators set.
             draws: Source of randomness.
             own: Name of this host.
         """
         serials = serials_lib.Serials()
         self.fleet = fleet_lib.Fleet(own, serials)
-        self.fleet.warmups.excess = bounds.warmup_excess
-        self.fleet.longest_rest = bounds.longest_rest
         self.rollouts = rollouts.RolloutBook(bounds.session_life)
         self.paces = pace_lib.Paces()
         self.suspects = suspects_lib.SuspectTable(serials)
@@ -82,6 +80,7 @@
             pace_lib.AttemptOutcome.REPLACED: self._note_replaced,
             pace_lib.AttemptOutcome.UNREACHABLE: self._note_unreachable,
         }
+        self.take_bounds(bounds)
 
     def take_bounds(self, bounds: bounds_lib.Bounds) -> None:
         """Puts other bounds in force; what was counted stays."""
@@ -147,7 +146,7 @@
             failed,
             now,
         )
-        ready = self.fleet.ready_of(
+        ready = self.fleet.ready(
             usable, allowed, excluded, now, self._draws.unit()
         )
         self._service(service).note_ready(bool(ready), now)
--- a/src/hoistmoor/core/relay/servers/access.py
+++ b/src/hoistmoor/core/relay/servers/access.py
@@ -101,19 +101,16 @@
         """
         found = None
         for each in servers:
-            longest = self._longest(each, now)
-            if longest is None:
+            if self.may_get(each, now):
                 return None
+            longest = self._longest(each, now)
             if found is None or longest.wait < found.wait:
                 found = longest
         return found
 
-    def _longest(
-        self, state: server_lib.ServerState, now: float
-    ) -> Outlook | None:
+    def _longest(self, state: server_lib.ServerState, now: float) -> Outlook:
         waits = [Outlook(bar, wait(state, now)) for bar, wait in self._rows]
-        longest = max(waits, key=lambda each: each.wait)
-        return longest if longest.wait > 0.0 else None
+        return max(waits, key=lambda each: each.wait)
 
     def _wait_for_evacuation(
         self, state: server_lib.ServerState, now: float
--- a/src/hoistmoor/core/relay/servers/departure_words.py
+++ b/src/hoistmoor/core/relay/servers/departure_words.py
@@ -26,6 +26,7 @@
 
 @attrs.define
 class _Word:
+    identity: str
     at: float
     serial: int
 
@@ -46,7 +47,7 @@
         """
         if identity in self._words:
             return False
-        self._words[identity] = _Word(at, self._serials.take())
+        self._words[identity] = _Word(identity, at, self._serials.take())
         if len(self._words) > MOST_KEPT:
             del self._words[next(iter(self._words))]
         return True
@@ -67,17 +68,6 @@
             after: Serial up to which it was told already.
             now: Steady time.
         """
-        if after >= self._serials.newest:
-            return {}, self._serials.newest
-        new = {
-            identity: word
-            for identity, word in self._words.items()
-            if word.serial > after and now - word.at <= LIFE
-        }
-        told = dict(list(new.items())[:MOST_TOLD])
-        is_all = len(told) == len(new)
-        until = self._serials.newest
-        if not is_all:
-            until = next(reversed(told.values())).serial
-        ages = {name: round(now - word.at, 3) for name, word in told.items()}
-        return ages, until
+        live = (each for each in self._words.values() if now - each.at <= LIFE)
+        new, until = self._serials.batch(live, after, MOST_TOLD)
+        return {each.identity: round(now - each.at, 3) for each in new}, until
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -286,38 +286,27 @@
             self.remove(server_id)
         return gone
 
-    def ready(
+    def usable(
         self,
         service: str,
-        versions: Container[str],
-        excluded: Container[str],
         now: float,
-        draw: float = 0.0,
+        besides: Container[access_lib.Bar] = (),
     ) -> list[server_lib.ServerState]:
-        """Returns the servers that may get new work.
-
-        Outliers and full servers are left out while enough others remain.
+        """Returns the servers of a service that nothing keeps work from.
 
         Args:
-            service: Their service.
-            versions: Versions that they may have.
-            excluded: Identities of servers that must not be chosen.
+            service: The service.
             now: Steady time.
-            draw: Random number of the request, 0 to 1; servers that come back
-                from a rest are for those with a small one.
+            besides: What does not count that keeps work from servers.
         """
-        return self.ready_of(
-            self.usable(service, now), versions, excluded, now, draw
-        )
-
-    def usable(self, service: str, now: float) -> list[server_lib.ServerState]:
-        """Returns the servers of a service that nothing keeps work from."""
         may_get = self.access.may_get
         return [
-            each for each in self._servers_of(service) if may_get(each, now)
+            each
+            for each in self._servers_of(service)
+            if may_get(each, now, besides)
         ]
 
-    def ready_of(
+    def ready(
         self,
         usable: Iterable[server_lib.ServerState],
         versions: Container[str],
@@ -327,7 +316,15 @@
     ) -> list[server_lib.ServerState]:
         """Returns those of the usable servers that may get new work.
 
-        See ``ready``.
+        Outliers and full servers are left out while enough others remain.
+
+        Args:
+            usable: Servers that nothing keeps work from.
+            versions: Versions that they may have.
+            excluded: Identities of servers that must not be chosen.
+            now: Steady time.
+            draw: Random number of the request, 0 to 1; servers that come back
+                from a rest are for those with a small one.
         """
         pool = [
             each
@@ -356,18 +353,9 @@
         now: float,
         besides: Container[access_lib.Bar] = (),
     ) -> set[str]:
-        """Returns the versions of a service's servers that may get work.
-
-        Args:
-            service: The service.
-            now: Steady time.
-            besides: What does not count that keeps work from servers.
-        """
-        return {
-            each.entry.version
-            for each in self._servers_of(service)
-            if self.access.may_get(each, now, besides)
-        }
+        """Returns the versions of those; see ``usable``."""
+        usable = self.usable(service, now, besides)
+        return {each.entry.version for each in usable}
 
     def _servers_of(self, service: str) -> Iterable[server_lib.ServerState]:
         return self._by_service.get(service, {}).values()
--- a/src/hoistmoor/core/relay/servers/reports.py
+++ b/src/hoistmoor/core/relay/servers/reports.py
@@ -47,7 +47,7 @@
         rest: Seconds for which it wants nothing from the host that it answers;
             None if it named none that can be read.
         unreadable: What stood in place of a word, by the word.
-        unread: Names of words, in lower case, that nothing here reads.
+        unread: Names of words, as they were sent, that nothing here reads.
     """
 
     load: LoadReport | None = None
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -160,11 +160,8 @@
 
     def leaves(self, now: float) -> bool:
         """Returns whether it is about to end, by the store or its own word."""
-        if self.departure.said_at is None:
-            return self.entry.is_leaving
-        if self.entry.is_leaving:
-            return True
-        return self.departure.holds(self.entry.born, now)
+        entry = self.entry
+        return entry.is_leaving or self.departure.holds(entry.born, now)
 
     def fullness(self, now: float) -> float:
         """Returns its requests as a multiple of its slots."""
--- a/src/hoistmoor/core/relay/servers/suspects.py
+++ b/src/hoistmoor/core/relay/servers/suspects.py
@@ -221,15 +221,7 @@
             after: Serial up to which it was told already.
             now: Steady time.
         """
-        if after >= self.serials.newest:
-            return (), self.serials.newest
-        new = sorted(
-            (each for each in self._states.values() if each.serial > after),
-            key=lambda each: each.serial,
-        )
-        is_all = len(new) <= MOST_TOLD
-        new = new[:MOST_TOLD]
-        until = self.serials.newest if is_all else new[-1].serial
+        new, until = self.serials.batch(self._states.values(), after, MOST_TOLD)
         return tuple(each.told(now) for each in new), until
 
     def _was_answered(self, fingerprint: str, now: float) -> bool:
--- a/src/hoistmoor/relay/peers/news_exchange.py
+++ b/src/hoistmoor/relay/peers/news_exchange.py
@@ -81,10 +81,6 @@
     """
     now = state.clock()
     router = state.router
-    if after >= router.serials.newest:
-        return peer_codec.News(
-            state.run_name, until=router.serials.newest, heard=heard
-        )
     suspects, suspects_until = router.suspects.news(after, now)
     departures, departures_until = router.fleet.departures.news(after, now)
     return peer_codec.News(
--- a/src/hoistmoor/relay/server_beliefs.py
+++ b/src/hoistmoor/relay/server_beliefs.py
@@ -9,13 +9,13 @@
 
 from hoistmoor.core.relay.servers import departure_words
 from hoistmoor.core.relay.servers import limit_words
+from hoistmoor.core.relay.servers import reports
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
 
     from hoistmoor.core.relay.servers import fleet as fleet_lib
-    from hoistmoor.core.relay.servers import reports
     from hoistmoor.core.relay.servers import server as server_lib
 
 MOST_UNREAD = 64  # Names of words that are written, at most.
@@ -161,7 +161,7 @@
         *,
         is_success: bool,
     ) -> None:
-        if "limit" in report.unreadable:
+        if reports.Word.LIMIT in report.unreadable:
             return
         before = server.limit.rate
         now = self._clock()
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -197,7 +197,7 @@
     assert isinstance(first, messages.Send)
     end(machine, router, first, State.DECLINED, pace.AttemptOutcome.REPLACED)
     for now, is_asked in ((NOW, False), (NOW + 3.9, False), (NOW + 4.1, True)):
-        ready = router.fleet.ready("desk", {"v1"}, (), now)
+        ready = relay_parts.ready(router.fleet, "desk", {"v1"}, (), now)
         assertions.assert_that(first.server in ready, matchers.Is(is_asked))
 
 
--- a/tests/core/relay/placement/test_relay_placement.py
+++ b/tests/core/relay/placement/test_relay_placement.py
@@ -191,7 +191,7 @@
 ) -> None:
     for server in router.fleet:
         server.health.eject(NOW)
-        left = router.fleet.ready("desk", {"v1"}, (), NOW)
+        left = relay_parts.ready(router.fleet, "desk", {"v1"}, (), NOW)
         resting = sum(each.health.is_resting for each in router.fleet)
         expected = 3 - resting if resting == 1 else 3
         assertions.assert_that(left, matchers.HasLength(expected))
@@ -236,7 +236,7 @@
 ) -> None:
     router.fleet.put(relay_parts.entry("new", version="v2"))
     router.fleet.servers["new"].health.eject(NOW)
-    ready = router.fleet.ready("desk", {"v2"}, (), NOW)
+    ready = relay_parts.ready(router.fleet, "desk", {"v2"}, (), NOW)
     assertions.assert_that(ready, matchers.HasLength(1))
 
 
@@ -245,7 +245,7 @@
     known.put(relay_parts.entry("a"))
     known.put(relay_parts.entry("b", is_leaving=True))
     assertions.assert_that(
-        known.ready("desk", {"v1"}, (), NOW), matchers.HasLength(1)
+        relay_parts.ready(known, "desk", {"v1"}, (), NOW), matchers.HasLength(1)
     )
     known.lapse("a", NOW + 2.0)
     assertions.assert_that(known.drop_lapsed(NOW + 1.0), matchers.Equals([]))
@@ -254,7 +254,7 @@
     known.lapse("a", NOW + 12.0)
     # It gets nothing more from then on, also before it is forgotten.
     for now, count in ((NOW + 11.9, 1), (NOW + 12.0, 0)):
-        ready = known.ready("desk", {"v1"}, (), now)
+        ready = relay_parts.ready(known, "desk", {"v1"}, (), now)
         assertions.assert_that(ready, matchers.HasLength(count))
     gone = known.drop_lapsed(NOW + 13.0)
     assertions.assert_that(gone, matchers.Equals(["a"]))
--- a/tests/core/relay/servers/test_relay_fleet.py
+++ b/tests/core/relay/servers/test_relay_fleet.py
@@ -49,7 +49,7 @@
     assertions.assert_that(
         attrs.asdict(found), matchers.Equals(attrs.asdict(fresh))
     )
-    ready = fleet.ready("desk", {"v1"}, (), NOW)
+    ready = relay_parts.ready(fleet, "desk", {"v1"}, (), NOW)
     assertions.assert_that(ready, matchers.Equals([found]))
     # A request of before that ends now leaves no trace on the new one.
     old.in_flight -= 1
@@ -61,10 +61,10 @@
 ) -> None:
     failed = frozenset({fleet.servers["a"].entry.identity})
     fleet.servers["a"].health.put_back()
-    ready = fleet.ready("desk", {"v1"}, failed, NOW)
+    ready = relay_parts.ready(fleet, "desk", {"v1"}, failed, NOW)
     assertions.assert_that(ready, matchers.HasLength(0))
     fleet.put(entry(born=2000))
-    ready = fleet.ready("desk", {"v1"}, failed, NOW)
+    ready = relay_parts.ready(fleet, "desk", {"v1"}, failed, NOW)
     assertions.assert_that(ready, matchers.HasLength(1))
 
 
@@ -132,10 +132,10 @@
 ) -> None:
     fleet.put(entry(born=1000, sequence=51, service="llm"))
     assertions.assert_that(
-        fleet.ready("desk", {"v1"}, (), NOW), matchers.HasLength(0)
+        relay_parts.ready(fleet, "desk", {"v1"}, (), NOW), matchers.HasLength(0)
     )
     assertions.assert_that(
-        fleet.ready("llm", {"v1"}, (), NOW), matchers.HasLength(1)
+        relay_parts.ready(fleet, "llm", {"v1"}, (), NOW), matchers.HasLength(1)
     )
 
 
@@ -144,7 +144,7 @@
     made.put(relay_parts.entry("n", zone="north"))
     made.put(relay_parts.entry("s", zone="south", version="v2"))
     made.evacuate(frozenset({"north"}), NOW)
-    ready = made.ready("desk", {"v1", "v2"}, (), NOW)
+    ready = relay_parts.ready(made, "desk", {"v1", "v2"}, (), NOW)
     assertions.assert_that(
         [each.entry.server_id for each in ready], matchers.Equals(["s"])
     )
@@ -152,7 +152,8 @@
     assertions.assert_that(made.versions("desk", NOW), matchers.Equals({"v2"}))
     made.evacuate(frozenset({"north", "south"}), NOW)
     assertions.assert_that(
-        made.ready("desk", {"v1", "v2"}, (), NOW), matchers.Equals([])
+        relay_parts.ready(made, "desk", {"v1", "v2"}, (), NOW),
+        matchers.Equals([]),
     )
 
 
@@ -166,7 +167,7 @@
 
 
 def ready_names(made: fleet_lib.Fleet, now: float) -> list[str]:
-    ready = made.ready("desk", {"v1"}, (), now)
+    ready = relay_parts.ready(made, "desk", {"v1"}, (), now)
     return sorted(each.entry.server_id for each in ready)
 
 
--- a/tests/core/relay/servers/test_relay_rests.py
+++ b/tests/core/relay/servers/test_relay_rests.py
@@ -30,7 +30,7 @@
     made.put(relay_parts.entry("b"))
     for server in made:
         server.rest.note(3.0, NOW)
-    ready = made.ready("desk", {"v1"}, (), NOW + 2.9)
+    ready = relay_parts.ready(made, "desk", {"v1"}, (), NOW + 2.9)
     assertions.assert_that(ready, matchers.Equals([]))
     made.servers["b"].rest.note(9.0, NOW)
     assertions.assert_that(
@@ -76,13 +76,14 @@
     for later, part in ((3.0, 0.0), (3.5, 0.25), (4.0, 0.5), (5.0, 1.0)):
         now = NOW + later
         found = [
-            len(made.ready("desk", {"v1"}, (), now, draw / 100)) == 2
+            len(relay_parts.ready(made, "desk", {"v1"}, (), now, draw / 100))
+            == 2
             for draw in range(1, 101)
         ]
         assertions.assert_that(sum(found) / 100, matchers.Equals(part))
     # Where no other is left, all requests come back at once.
     made.remove("b")
-    ready = made.ready("desk", {"v1"}, (), NOW + 3.0, 0.9)
+    ready = relay_parts.ready(made, "desk", {"v1"}, (), NOW + 3.0, 0.9)
     assertions.assert_that(len(ready), matchers.Equals(1))
 
 
@@ -92,5 +93,5 @@
     made.servers["a"].rest.note(9.0, NOW)
     made.remove("a")
     made.put(relay_parts.entry("a"), NOW + 1.0)
-    ready = made.ready("desk", {"v1"}, (), NOW + 1.0)
+    ready = relay_parts.ready(made, "desk", {"v1"}, (), NOW + 1.0)
     assertions.assert_that(ready, matchers.Equals([]))
--- a/tests/core/relay/servers/test_relay_warmup.py
+++ b/tests/core/relay/servers/test_relay_warmup.py
@@ -52,7 +52,7 @@
 
 
 def ready(fleet: fleet_lib.Fleet, now: float) -> set[str]:
-    found = fleet.ready("llm", {"v1"}, (), now)
+    found = relay_parts.ready(fleet, "llm", {"v1"}, (), now)
     return {each.entry.server_id for each in found}
 
 
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -143,7 +143,9 @@
     await platform.publish(platform.servers, "a", None)
     await servers.read_once()
     rig.clock.now += 0.26 * fleet_lib.LAPSE_GRACE
-    ready = rig.state.router.fleet.ready("desk", {"v1"}, (), rig.clock.now)
+    ready = relay_parts.ready(
+        rig.state.router.fleet, "desk", {"v1"}, (), rig.clock.now
+    )
     assertions.assert_that(ready, matchers.HasLength(0))
 
 
@@ -160,7 +162,9 @@
     rig.clock.now += 14.0
     await platform.publish(platform.servers, "a", None)
     await servers.read_once()
-    ready = rig.state.router.fleet.ready("desk", {"v1"}, (), rig.clock.now)
+    ready = relay_parts.ready(
+        rig.state.router.fleet, "desk", {"v1"}, (), rig.clock.now
+    )
     assertions.assert_that(ready, matchers.HasLength(0))
 
 
--- a/tests/relay_parts.py
+++ b/tests/relay_parts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TYPE_CHECKING
 
 import attrs
 
@@ -10,6 +10,11 @@
 from hoistmoor.core.relay.course import requests
 from hoistmoor.core.relay.servers import server as server_lib
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+    from hoistmoor.core.relay.servers import fleet as fleet_lib
+
 Kind = configuration.RouteKind
 
 ROUTE = configuration.Route(
@@ -89,6 +94,19 @@
     return requests.RelayRequest(**{**defaults, **fields})
 
 
+def ready(
+    fleet: fleet_lib.Fleet,
+    service: str,
+    versions: Container[str],
+    excluded: Container[str],
+    now: float,
+    draw: float = 0.0,
+) -> list[server_lib.ServerState]:
+    """Returns the servers of a service that may get new work."""
+    usable = fleet.usable(service, now)
+    return fleet.ready(usable, versions, excluded, now, draw)
+
+
 def in_force(
     revision: int = 1,
     routes: tuple[configuration.Route, ...] = (ROUTE, CONFIRM, CHAT),
