Share troubles, calls and speakers among the tests of servers' words

third_cut_off stood three times, lists that lack a fifth and a restart of all twice: swarm_troubles holds them once. The cluster calls until relays know something and asserts that one engine gets nothing; an engine's limit is a line of its words like the others. Assertions stay; hosts with old lists also list some that have gone, and a third is drawn rather than the first one, where these tests had variants of their own.

--- a/tests/relay/front/test_relay_reports.py
+++ b/tests/relay/front/test_relay_reports.py
@@ -22,6 +22,8 @@
     from conftest import Backend
     from conftest import Harness
 
+    from hoistmoor.core.relay.servers import server as server_lib
+
 NAMES = header_names.HeaderNames()
 HEAD = b"HTTP/1.1 %b\r\nX-Request-Id: r1\r\n%bContent-Length: 0\r\n\r\n"
 SIGNED = b"X-Answer-Signature: s\r\n"
@@ -143,35 +145,38 @@
         await reply.read()
 
 
-def limit_of(harness: Harness) -> float | None:
-    return harness.state.router.fleet.servers["s1"].limit.rate
+async def add_speaker(
+    harness: Harness,
+) -> tuple[Speaker, server_lib.ServerState]:
+    """Starts a server; returns it, and what the relay knows of it."""
+    speaker = Speaker()
+    await harness.add_backend("s1", speaker)
+    return speaker, harness.state.router.fleet.servers["s1"]
 
 
 async def test_a_limit_holds_while_answers_name_it(harness: Harness) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
+    speaker, server = await add_speaker(harness)
     speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+    assertions.assert_that(server.limit.rate, matchers.Equals(50.0))
     speaker.headers = SIGNED + b"X-Server-Limit: 40\r\n"
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Equals(40.0))
+    assertions.assert_that(server.limit.rate, matchers.Equals(40.0))
     speaker.headers = SIGNED
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Is(None))
+    assertions.assert_that(server.limit.rate, matchers.Is(None))
 
 
 async def test_what_is_no_limit_changes_nothing(harness: Harness) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
+    speaker, server = await add_speaker(harness)
     speaker.headers = SIGNED + b"X-Server-Limit: -1\r\n"
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Is(None))
+    assertions.assert_that(server.limit.rate, matchers.Is(None))
     speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
     await ask(harness)
     speaker.headers = SIGNED + b"X-Server-Limit: many\r\n"
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+    assertions.assert_that(server.limit.rate, matchers.Equals(50.0))
 
 
 @pytest.mark.parametrize(
@@ -185,21 +190,18 @@
 async def test_what_is_no_success_of_it_ends_no_limit(
     harness: Harness, status: bytes, headers: bytes
 ) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
+    speaker, server = await add_speaker(harness)
     speaker.headers = SIGNED + b"X-Server-Limit: 50\r\n"
     await ask(harness)
     speaker.status, speaker.headers = status, headers
     await ask(harness)
-    assertions.assert_that(limit_of(harness), matchers.Equals(50.0))
+    assertions.assert_that(server.limit.rate, matchers.Equals(50.0))
 
 
 async def test_what_a_server_says_of_its_end_and_rest_is_believed(
     harness: Harness,
 ) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
-    server = harness.state.router.fleet.servers["s1"]
+    speaker, server = await add_speaker(harness)
     speaker.status, speaker.headers = (
         b"503 Resting",
         b"X-Not-Run: 1\r\nRetry-After: 30\r\nX-Server-Leaving: 1\r\n",
@@ -213,9 +215,7 @@
 
 
 async def test_whoever_asks_for_rest_has_not_failed(harness: Harness) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
-    server = harness.state.router.fleet.servers["s1"]
+    speaker, server = await add_speaker(harness)
     # It does not say that it has not run the request.
     speaker.status, speaker.headers = b"503 Resting", b"Retry-After: 0.01\r\n"
     for _ in range(5):
@@ -226,9 +226,7 @@
 
 
 async def test_a_rest_is_kept_to_for_a_while_at_most(harness: Harness) -> None:
-    speaker = Speaker()
-    await harness.add_backend("s1", speaker)
-    server = harness.state.router.fleet.servers["s1"]
+    speaker, server = await add_speaker(harness)
     speaker.status, speaker.headers = (
         b"503 Resting",
         b"X-Not-Run: 1\r\nRetry-After: 999999\r\n",
@@ -264,9 +262,8 @@
 async def test_a_late_answer_of_the_start_before_binds_nobody(
     harness: Harness,
 ) -> None:
-    await harness.add_backend("s1", Speaker())
+    _, before = await add_speaker(harness)
     fleet, beliefs = harness.state.router.fleet, harness.state.server_beliefs
-    before = fleet.servers["s1"]
     fleet.put(relay_parts.entry("s1", address="127.0.0.1:9"), 0.0)
     beliefs.take_report(
         before,
--- a/tests/relay/relay_cluster.py
+++ b/tests/relay/relay_cluster.py
@@ -18,6 +18,8 @@
 import attrs
 import relay_parts
 import relay_platform
+from testtools import assertions
+from testtools import matchers
 
 from hoistmoor.clients import sessions
 from hoistmoor.relay import application
@@ -53,7 +55,6 @@
         arrived: Bodies of the requests that came whole, of all starts.
         running: Bodies of the requests that it is at.
         pace: Set while streams go on.
-        limit: What it names as its limit; empty for none.
         words: Further lines of the head of each of its answers.
         turns_away: Whether it declines all requests, as not run.
     """
@@ -65,7 +66,6 @@
     arrived: list[bytes] = attrs.field(factory=list)
     running: list[bytes] = attrs.field(factory=list)
     pace: asyncio.Event = attrs.field(factory=asyncio.Event)
-    limit: bytes = b""
     words: bytes = b""
     turns_away: bool = False
     _server: asyncio.Server | None = None
@@ -108,11 +108,6 @@
         self._writers.discard(writer)
         writer.close()
 
-    def _word_lines(self) -> bytes:
-        if not self.limit:
-            return self.words
-        return self.words + b"X-Server-Limit: %b\r\n" % self.limit
-
     async def _answer(
         self, request: bytes, writer: asyncio.StreamWriter
     ) -> None:
@@ -122,7 +117,7 @@
             writer.write(
                 b"HTTP/1.1 503 Away\r\nX-Request-Id: %b\r\n%b"
                 b"X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                % (_value_of(head, b"x-request-id"), self._word_lines())
+                % (_value_of(head, b"x-request-id"), self.words)
             )
             return
         writer.write(
@@ -130,7 +125,7 @@
             b"X-Answer-Signature: s\r\n"
             b"Content-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n"
-            % (_value_of(head, b"x-request-id"), self._word_lines())
+            % (_value_of(head, b"x-request-id"), self.words)
         )
         await writer.drain()
         if CRASH in body:
@@ -305,6 +300,33 @@
             await self.call(number, b"before")
         return max(self.engines, key=lambda each: len(each.arrived))
 
+    async def call_until(
+        self, knows: Callable[[application.Relay], bool]
+    ) -> None:
+        """Calls each relay until it knows something."""
+        async with asyncio.timeout(PATIENCE):
+            for number, relay in enumerate(self.relays):
+                while not knows(relay):
+                    await self.call(number, b"first")
+
+    async def assert_all_served_without(
+        self, engine: Engine, calls: int
+    ) -> None:
+        """Asserts that calls are answered, and that one engine gets none.
+
+        Args:
+            engine: The engine.
+            calls: How many are made at each relay.
+        """
+        engine.arrived.clear()
+        for number in range(len(self.relays)):
+            for _ in range(calls):
+                answer = await self.call(number, b"later")
+                assertions.assert_that(
+                    answer.is_whole_stream, matchers.Is(True)
+                )
+        assertions.assert_that(engine.arrived, matchers.Equals([]))
+
     def tries_of(self, body: bytes) -> int:
         """Returns how often engines got a request with this body."""
         return sum(engine.arrived.count(body) for engine in self.engines)
--- a/tests/relay/test_relay_leaving_server.py
+++ b/tests/relay/test_relay_leaving_server.py
@@ -15,13 +15,13 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 import engine_traffic
 import pytest
 import relay_cluster
 import relay_swarm
+import swarm_troubles
 from testtools import assertions
 from testtools import matchers
 
@@ -37,17 +37,6 @@
 ALL_TOLD = 2.0  # Seconds until one host's answer is known to all.
 
 
-async def call_until_known(
-    cluster: relay_cluster.Cluster, server_id: str
-) -> None:
-    """Has callers call until all hosts know that a server leaves."""
-    async with asyncio.timeout(relay_cluster.PATIENCE):
-        for number, relay in enumerate(cluster.relays):
-            server = relay.state.router.fleet.servers[server_id]
-            while server.departure.said_at is None:
-                await cluster.call(number, b"first")
-
-
 @pytest.mark.parametrize("relays", [3, 7])
 async def test_a_leaving_server_gets_nothing_more(
     monkeypatch: pytest.MonkeyPatch, relays: int
@@ -55,15 +44,15 @@
     async with relay_cluster.open_cluster(monkeypatch, relays, 3) as cluster:
         leaving = await cluster.find_wanted()
         leaving.words = LEAVES
-        await call_until_known(cluster, leaving.server_id)
-        leaving.arrived.clear()
-        for number in range(len(cluster.relays)):
-            for _ in range(CALLS):
-                answer = await cluster.call(number, b"later")
-                assertions.assert_that(
-                    answer.is_whole_stream, matchers.Is(True)
-                )
-        assertions.assert_that(leaving.arrived, matchers.Equals([]))
+        await cluster.call_until(
+            lambda relay: (
+                relay.state.router.fleet.servers[
+                    leaving.server_id
+                ].departure.said_at
+                is not None
+            )
+        )
+        await cluster.assert_all_served_without(leaving, CALLS)
 
 
 @pytest.mark.parametrize("hosts", engine_traffic.SIZES)
@@ -72,7 +61,7 @@
 ) -> None:
     async def scenario() -> None:
         swarm, traffic = await engine_traffic.begin(hosts)
-        swarm.store.fault[""] = "silent"
+        swarm_troubles.store_away(swarm)
         (engine,) = traffic.most_wanted(1)
         engine.is_leaving = True
         await asyncio.sleep(AWAY)
@@ -90,28 +79,10 @@
     relay_swarm.play(monkeypatch, scenario())
 
 
-def third_cut_off(swarm: relay_swarm.Swarm) -> None:
-    """A third hears neither the store nor others, and serves on."""
-    cut = random.Random(2).sample(swarm.members, len(swarm.members) // 3)
-    swarm.cut_off = frozenset(member.name for member in cut)
-    for member in cut:
-        swarm.store.fault[member.name] = "silent"
-
-
-def lists_lack_a_fifth(swarm: relay_swarm.Swarm) -> None:
-    """Each host lacks a fifth of the others."""
-    draws = random.Random(1)
-    for member in swarm.members:
-        assert member.relay is not None
-        known = [
-            each.name
-            for each in swarm.members
-            if each is member or draws.random() > 0.2
-        ]
-        member.relay.state.router.fleet.shares.take_hosts(known)
-
-
-@pytest.mark.parametrize("trouble", [third_cut_off, lists_lack_a_fifth])
+@pytest.mark.parametrize(
+    "trouble",
+    [swarm_troubles.third_cut_off, swarm_troubles.hosts_with_old_lists],
+)
 @pytest.mark.parametrize("hosts", [7, 84])
 def test_nor_where_hosts_know_little(
     monkeypatch: pytest.MonkeyPatch,
@@ -163,11 +134,8 @@
         (engine,) = traffic.most_wanted(1)
         engine.is_leaving = True
         await asyncio.sleep(4.0)
-        for member in swarm.members:
-            member.stop()
+        swarm_troubles.all_restarted(swarm)
         engine.leaving_passed_on.clear()
-        for member in swarm.members:
-            member.start()
         await asyncio.sleep(AWAY)
         assertions.assert_that(engine.after_leaving, matchers.Equals([]))
         first = min(engine.leaving_passed_on.values())
--- a/tests/relay/test_relay_limited_servers.py
+++ b/tests/relay/test_relay_limited_servers.py
@@ -20,7 +20,7 @@
 RELAYS = 3
 ENGINES = 4
 CALLS = 60
-SLOW = b"0.05"  # Requests a second: in a test's time hardly more than one.
+SLOW = 0.05  # Requests a second: in a test's time hardly more than one.
 # What a server that names it may get, by the time that the calls took.
 FACTOR = 1.5
 SPARE = 5.0
@@ -39,6 +39,11 @@
         yield opened
 
 
+def limit_line(rate: float) -> bytes:
+    """Returns the line of an answer's head that names a limit."""
+    return b"X-Server-Limit: %b\r\n" % str(rate).encode()
+
+
 def limits_of(cluster: relay_cluster.Cluster) -> list[float | None]:
     """Returns what each relay takes each server's limit for."""
     return [
@@ -63,17 +68,15 @@
 ) -> None:
     await cluster.call(0, b"first", "first")
     (limited,) = [each for each in cluster.engines if each.arrived]
-    limited.limit = SLOW
+    limited.words = limit_line(SLOW)
     # The same prompt goes to the same server, which has it cached.
     await cluster.call(0, b"told", "told")
-    await relay_cluster.until(
-        lambda: limits_of(cluster).count(float(SLOW)) == RELAYS
-    )
+    await relay_cluster.until(lambda: limits_of(cluster).count(SLOW) == RELAYS)
     before = len(limited.arrived)
     clock = asyncio.get_running_loop().time
     began = clock()
     answers = await call_all(cluster, "r")
-    allowed = FACTOR * float(SLOW) * (clock() - began) + SPARE
+    allowed = FACTOR * SLOW * (clock() - began) + SPARE
     got = len(limited.arrived) - before
     assertions.assert_that(got, matchers.LessThan(allowed))
     whole = [answer.is_whole_stream for answer in answers]
@@ -85,10 +88,10 @@
 ) -> None:
     await cluster.call(0, b"first", "first")
     (limited,) = [each for each in cluster.engines if each.arrived]
-    limited.limit = b"40"
+    limited.words = limit_line(40)
     await cluster.call(0, b"told", "told")
     await relay_cluster.until(lambda: limits_of(cluster).count(40.0) == RELAYS)
-    limited.limit = b""
+    limited.words = b""
     async with asyncio.timeout(relay_cluster.PATIENCE):
         while set(limits_of(cluster)) != {None}:
             await call_all(cluster, "r")
@@ -98,7 +101,7 @@
     cluster: relay_cluster.Cluster,
 ) -> None:
     for engine in cluster.engines:
-        engine.limit = SLOW
+        engine.words = limit_line(SLOW)
     answers = await call_all(cluster, "r")
     refused = [answer for answer in answers if answer.status == 503]
     assertions.assert_that(len(refused), matchers.GreaterThan(CALLS // 2))
--- a/tests/relay/test_relay_resting_server.py
+++ b/tests/relay/test_relay_resting_server.py
@@ -22,6 +22,7 @@
 import pytest
 import relay_cluster
 import relay_swarm
+import swarm_troubles
 from testtools import assertions
 from testtools import matchers
 
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.relay import application
 
 RESTS = b"Retry-After: 600\r\n"
@@ -43,28 +45,22 @@
 async def test_a_resting_server_gets_nothing(
     monkeypatch: pytest.MonkeyPatch, relays: int
 ) -> None:
+    def server_at(relay: application.Relay) -> server_lib.ServerState:
+        return relay.state.router.fleet.servers[resting.server_id]
+
+    def rests_at(relay: application.Relay) -> bool:
+        return server_at(relay).rest.left(relay.state.clock()) > 0.0
+
     def has_room(relay: application.Relay) -> bool:
         """Whether what merely was full is tried again."""
-        server = relay.state.router.fleet.servers[resting.server_id]
-        return relay.state.clock() > server.health.full_until
+        return relay.state.clock() > server_at(relay).health.full_until
 
     async with relay_cluster.open_cluster(monkeypatch, relays, 3) as cluster:
         resting = await cluster.find_wanted()
         resting.words, resting.turns_away = RESTS, True
-        async with asyncio.timeout(relay_cluster.PATIENCE):
-            for number, relay in enumerate(cluster.relays):
-                server = relay.state.router.fleet.servers[resting.server_id]
-                while not server.rest.left(relay.state.clock()):
-                    await cluster.call(number, b"first")
-        resting.arrived.clear()
+        await cluster.call_until(rests_at)
         await relay_cluster.until(lambda: all(map(has_room, cluster.relays)))
-        for number in range(len(cluster.relays)):
-            for _ in range(CALLS):
-                answer = await cluster.call(number, b"later")
-                assertions.assert_that(
-                    answer.is_whole_stream, matchers.Is(True)
-                )
-        assertions.assert_that(resting.arrived, matchers.Equals([]))
+        await cluster.assert_all_served_without(resting, CALLS)
 
 
 @pytest.mark.parametrize("hosts", engine_traffic.SIZES)
@@ -132,20 +128,9 @@
     relay_swarm.play(monkeypatch, scenario())
 
 
-def store_away(swarm: relay_swarm.Swarm) -> None:
-    """No host hears the store."""
-    swarm.store.fault[""] = "silent"
-
-
-def third_cut_off(swarm: relay_swarm.Swarm) -> None:
-    """A third hears neither the store nor others, and serves on."""
-    cut = swarm.members[: len(swarm.members) // 3]
-    swarm.cut_off = frozenset(member.name for member in cut)
-    for member in cut:
-        swarm.store.fault[member.name] = "silent"
-
-
-@pytest.mark.parametrize("trouble", [store_away, third_cut_off])
+@pytest.mark.parametrize(
+    "trouble", [swarm_troubles.store_away, swarm_troubles.third_cut_off]
+)
 @pytest.mark.parametrize("hosts", [7, 84])
 def test_a_rest_is_kept_to_where_hosts_hear_little(
     monkeypatch: pytest.MonkeyPatch,
--- a/tests/relay/test_relay_server_limit.py
+++ b/tests/relay/test_relay_server_limit.py
@@ -17,12 +17,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 import engine_traffic
 import pytest
 import relay_swarm
+import swarm_troubles
 from testtools import assertions
 from testtools import matchers
 
@@ -101,49 +101,12 @@
     relay_swarm.play(monkeypatch, scenario())
 
 
-def hosts_with_old_lists(swarm: relay_swarm.Swarm) -> None:
-    """Each host lacks a fifth of the others, and lists some that have gone."""
-    draws = random.Random(1)
-    listed = [each.name for each in swarm.members]
-    gone = [f"gone{number}" for number in range(len(listed) // 10 + 1)]
-    for member in swarm.members:
-        assert member.relay is not None
-        known = [
-            name
-            for name in listed + gone
-            if name == member.name or draws.random() > 0.2
-        ]
-        member.relay.state.router.fleet.shares.take_hosts(known)
-
-
-def third_of(swarm: relay_swarm.Swarm) -> list[relay_swarm.Member]:
-    draws = random.Random(2)
-    return draws.sample(swarm.members, len(swarm.members) // 3)
-
-
-def third_cut_off(swarm: relay_swarm.Swarm) -> None:
-    """A third hears neither the store nor others, and serves on."""
-    cut = third_of(swarm)
-    swarm.cut_off = frozenset(member.name for member in cut)
-    for member in cut:
-        swarm.store.fault[member.name] = "silent"
-
-
-def third_down(swarm: relay_swarm.Swarm) -> None:
-    """A third has ended, and stays on the lists of the others."""
-    for member in third_of(swarm):
-        member.stop()
-
-
-def all_restarted(swarm: relay_swarm.Swarm) -> None:
-    """All start anew at once and know nothing of limits."""
-    for member in swarm.members:
-        member.stop()
-    for member in swarm.members:
-        member.start()
-
-
-TROUBLES = [hosts_with_old_lists, third_cut_off, third_down, all_restarted]
+TROUBLES = [
+    swarm_troubles.hosts_with_old_lists,
+    swarm_troubles.third_cut_off,
+    swarm_troubles.third_down,
+    swarm_troubles.all_restarted,
+]
 
 
 @pytest.mark.parametrize("trouble", TROUBLES)
@@ -164,7 +127,7 @@
             engine.begin_limit(limit)
         await asyncio.sleep(4.0)
         trouble(swarm)
-        if trouble is all_restarted:
+        if trouble is swarm_troubles.all_restarted:
             for engine in limited:
                 engine.told.clear()
         await asyncio.sleep(10.0)
