Write the store's history, and copies of topics that are dropped

Callers were served by a configuration that four accepted ones had replaced. The lines could not tell whether the store had lost anything, where each topic ended, or that an answer of another host was dropped, and why.

Each answer's Store-Era is read now, in platform/, into one value of the core (StoreHistory). A new era is a store_era line with the ends of all topics; an era that says nothing is counted, and logged once a reason. copy_dropped tells both ends. Three metrics. No decision is changed.

tests/relay/store, tests/platform and the peers' tests pass as before.

--- a/src/hoistmoor/platform/main.py
+++ b/src/hoistmoor/platform/main.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.platform import codec
 from hoistmoor.platform import names
 from hoistmoor.platform import settings as settings_lib
@@ -36,11 +37,13 @@
         return EXIT_USAGE
 
     def connect(session: aiohttp.ClientSession) -> ports.Platform:
+        history = history_lib.StoreHistory()
         return ports.Platform(
-            topics=store.open_topics(session, settings.store),
+            topics=store.open_topics(session, settings.store, history),
             codec=codec.PlatformCodec(),
             headers=names.HEADERS,
             not_run_statuses=names.NOT_RUN_STATUSES,
+            history=history,
         )
 
     def read_again() -> relay_settings.RelaySettings:
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import functools
 import struct
 from typing import Any, TYPE_CHECKING
 
@@ -11,11 +12,12 @@
 
 from hoistmoor.clients import replies
 from hoistmoor.core import errors
+from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.relay.store import ports
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     import aiohttp
 
@@ -25,13 +27,18 @@
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")  # End, and first one kept.
 _PARTITION = "0"
+_ERA = "Store-Era"  # Header of all answers.
 
 
 class StoreTopic:
     """One keyed topic; stateless but for the session."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, topic: str
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        topic: str,
+        history: history_lib.StoreHistory,
     ) -> None:
         """Makes the topic.
 
@@ -39,8 +46,10 @@
             session: From ``clients.sessions``; stays the caller's.
             address: ``ip:port`` of the store.
             topic: Its name there.
+            history: Takes the era of each answer.
         """
         self.topic = topic
+        self._history = history
         self._session = session
         self._base = f"http://{address}/hoistmoor/"
 
@@ -112,6 +121,7 @@
         body: bytes,
         wait: float = 0.0,
     ) -> tuple[int, bytes]:
+        known = self._history.era
         try:
             async with self._session.request(
                 method,
@@ -120,6 +130,7 @@
                 data=body or None,
                 timeout=replies.timeout_of(CALL_TIMEOUT + wait),
             ) as reply:
+                self._history.take_answer(_era_of(reply.headers), known)
                 return reply.status, await reply.read()
         except replies.TRANSPORT_ERRORS as error:
             raise errors.LogOutcomeUnknownError(
@@ -134,6 +145,17 @@
         )
 
 
+def _era_of(headers: Mapping[str, str]) -> history_lib.EraWord:
+    text = headers.get(_ERA)
+    if text is None:
+        return history_lib.EraWord()
+    is_number = text.isascii() and text.isdigit() and len(text) < 10
+    era = int(text) if is_number else None
+    if era is not None and era >= history_lib.MOST_ERAS:
+        era = None
+    return history_lib.EraWord(text, era)
+
+
 def _entry(fields: dict[str, Any]) -> topics.Record:
     value = fields.get("value")
     return topics.Record(
@@ -165,14 +187,19 @@
         offset += 1
 
 
-def open_topics(session: aiohttp.ClientSession, address: str) -> ports.Topics:
+def open_topics(
+    session: aiohttp.ClientSession,
+    address: str,
+    history: history_lib.StoreHistory,
+) -> ports.Topics:
     """Returns the topics of the store at ``address``."""
+    topic = functools.partial(StoreTopic, session, address, history=history)
     return ports.Topics(
-        operator=StoreTopic(session, address, "keyed.op"),
-        servers=StoreTopic(session, address, "keyed.servers"),
-        status=StoreTopic(session, address, "keyed.status"),
-        phases=StoreTopic(session, address, "keyed.rollout-phases"),
-        evidence=StoreTopic(session, address, "keyed.rollout-evidence"),
-        hosts=StoreTopic(session, address, "keyed.relay-hosts"),
-        quarantine=StoreTopic(session, address, "keyed.relay-quarantine"),
+        operator=topic("keyed.op"),
+        servers=topic("keyed.servers"),
+        status=topic("keyed.status"),
+        phases=topic("keyed.rollout-phases"),
+        evidence=topic("keyed.rollout-evidence"),
+        hosts=topic("keyed.relay-hosts"),
+        quarantine=topic("keyed.relay-quarantine"),
     )
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -29,6 +29,7 @@
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
+from hoistmoor.relay.store import era_watch
 from hoistmoor.relay.store import followers as followers_lib
 from hoistmoor.relay.store import lease_watch
 from hoistmoor.relay.store import quarantine
@@ -98,6 +99,7 @@
             ),
             outstanding=outstanding.OutstandingWork(),
             run_name=f"{settings.host}-{seed:016x}",
+            history=platform.history,
         )
         dialect = dialect_lib.Dialect(
             attempt_header=platform.headers.request_id,
@@ -134,6 +136,7 @@
             # Where other hosts may be asked, it is known soon who reads.
             yields=bool(settings.peer_listen),
         )
+        era_watch.EraWatch(self.state, self.followers).attach()
         self._make_tasks(platform, peer_session)
         self._serving = serving.Serving(
             self.state,
--- a/src/hoistmoor/relay/counters.py
+++ b/src/hoistmoor/relay/counters.py
@@ -19,6 +19,9 @@
         beliefs: Changes of what this host believes, by kind.
         durations: Seconds from a request to its final answer.
         configuration_age: Seconds since the configuration was known current.
+        store_era: Number of the store's history that is known here.
+        unusable_eras: Answers of the store whose era says nothing, by why.
+        dropped_copies: Copies of topics that were older than what is known.
     """
 
     def __init__(self) -> None:
@@ -62,6 +65,24 @@
             registry=self.registry,
         )
 
+        self.store_era = prometheus_client.Gauge(
+            "hoistmoor_relay_store_era",
+            "Number of the store's history; rises when it lost writes.",
+            registry=self.registry,
+        )
+        self.unusable_eras = prometheus_client.Counter(
+            "hoistmoor_relay_unusable_eras",
+            "Answers of the store whose era says nothing.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.dropped_copies = prometheus_client.Counter(
+            "hoistmoor_relay_dropped_copies",
+            "Copies of other hosts that were older than what is known here.",
+            ["topic"],
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Returns all of them in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -252,7 +252,10 @@
         for name, topic in answer.topics.items():
             follower = self._followers.get(name)
             # A read of the store that is under way may have gone further.
-            if follower is None or follower.is_ahead_of(topic.batch):
+            if follower is None:
+                continue
+            if follower.is_ahead_of(topic.batch):
+                follower.note_dropped(topic.batch)
                 continue
             # The answer was made after the question was sent, and an age
             # counts from when it was made.
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.core.relay.beliefs import configuration as configuration_lib
 from hoistmoor.core.relay.beliefs import freshness
+from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
@@ -32,6 +33,7 @@
         lease: Whether the configuration may be used.
         outstanding: Work of other hosts at the backend servers.
         run_name: Name of this run of this host; no other has it.
+        history: The store's history, as far as this host knows.
         evidence: Counts in roll-outs of the hosts that ask this one.
         configuration: In force here; None before the first.
         topics_read: Topics whose newest records were read.
@@ -52,6 +54,9 @@
     lease: freshness.ConfigurationLease
     outstanding: outstanding_lib.OutstandingWork
     run_name: str
+    history: history_lib.StoreHistory = attrs.field(
+        factory=history_lib.StoreHistory
+    )
     evidence: evidence_lib.EvidenceBook = attrs.field(
         factory=evidence_lib.EvidenceBook
     )
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -104,6 +104,7 @@
         self._is_probe = is_probe
         self._is_held = is_held and not is_probe
         self._is_unproved = False
+        self._drops = False  # Whether the last copy was dropped.
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
 
@@ -187,6 +188,19 @@
         known = self.next_offset
         return known is not None and batch.next_offset < known
 
+    def note_dropped(self, batch: topics.Batch) -> None:
+        """Counts a copy that is not taken; logs the first in a row."""
+        self._state.counters.dropped_copies.labels(self.name).inc()
+        if self._drops:
+            return
+        self._drops = True
+        self._state.believe(
+            "copy_dropped",
+            topic=self.name,
+            known=self.next_offset,
+            copied=batch.next_offset,
+        )
+
     @property
     def after_outage(self) -> float:
         """Seconds since the store was heard again."""
@@ -195,6 +209,7 @@
     def take(self, update: Update) -> None:
         """Takes what was read, here or by another host, and tells of it."""
         batch = update.batch
+        self._drops = False
         self.current_at = max(self.current_at, update.current_at)
         self._end_outage(update.current_at)
         # An outage at the source is one for those that ask this host, too.
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.relay.front import header_names
 
 if TYPE_CHECKING:
@@ -100,9 +101,20 @@
 
 @attrs.frozen
 class Platform:
-    """One platform, as the relay sees it."""
+    """One platform, as one relay sees it.
+
+    Attributes:
+        topics: Of its store.
+        codec: Translates their records.
+        headers: Names of headers.
+        not_run_statuses: Statuses of servers that did not run a request.
+        history: The store's history, from the answers to this relay's calls.
+    """
 
     topics: Topics
     codec: Codec
     headers: header_names.HeaderNames
     not_run_statuses: frozenset[int]
+    history: history_lib.StoreHistory = attrs.field(
+        factory=history_lib.StoreHistory
+    )
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -9,6 +9,7 @@
 import store_standin
 
 from hoistmoor.clients import sessions
+from hoistmoor.core.relay.beliefs import history
 from hoistmoor.platform import store
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
     await web.TCPSite(runner, "127.0.0.1", 0).start()
     ip, port = runner.addresses[0]
     async with sessions.make_session() as session:
-        client = store.StoreTopic(session, f"{ip}:{port}", TOPIC)
+        client = store.StoreTopic(
+            session, f"{ip}:{port}", TOPIC, history.StoreHistory()
+        )
         yield made, made.topic(TOPIC), client
     await runner.cleanup()
