Tests that fail: changes after the store came back from an older copy

The stand-in in memory can come back from an older copy and tells its era with each answer, as the platform's term says.

--- /dev/null
+++ b/tests/relay/test_relay_returned_store.py
@@ -0,0 +1,53 @@
+"""Real relays before a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+import pytest
+import relay_cluster
+import relay_parts
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.beliefs import configuration
+
+HOSTS = 7
+LOST = 3  # Accepted configurations that the store has lost.
+NEW_ACCOUNT = configuration.ClientAccount("farm", frozenset({"key3"}))
+
+
+async def publish(
+    cluster: relay_cluster.Cluster, revision: int, **fields: object
+) -> None:
+    found = relay_parts.in_force(revision, **fields)
+    operator = cluster.platform.operator
+    await cluster.platform.publish(operator, "config", found)
+
+
+async def until_revision(cluster: relay_cluster.Cluster, revision: int) -> None:
+    def is_known() -> bool:
+        found = [each.state.configuration for each in cluster.relays]
+        return all(each and each.revision == revision for each in found)
+
+    await relay_cluster.until(is_known)
+
+
+@pytest.mark.parametrize("written_again", [1, LOST])
+async def test_a_key_taken_away_after_the_store_returned_is_refused(
+    monkeypatch: pytest.MonkeyPatch, written_again: int
+) -> None:
+    # What is written again ends below the place where hosts had read to, or
+    # just there.
+    async with relay_cluster.open_cluster(monkeypatch, HOSTS, 2) as cluster:
+        copy = cluster.platform.copy()
+        for revision in range(2, 2 + LOST):
+            await publish(cluster, revision)
+        await until_revision(cluster, 1 + LOST)
+        cluster.platform.rewind(copy)
+        newest = 1 + LOST + written_again
+        for revision in range(2 + LOST, newest):
+            await publish(cluster, revision)
+        await publish(cluster, newest, accounts=(NEW_ACCOUNT,))
+        await until_revision(cluster, newest)
+        for number in range(HOSTS):
+            answer = await cluster.call(number, b"old key")
+            assertions.assert_that(answer.status, matchers.Equals(401))
