Read on in no history but the one that a place belongs to

Callers were served by a configuration that accepted ones had replaced, and refused by hosts that dropped all copies of their sources (CONFIG; leases that ended while the source was current). Cause: an offset was taken for a clock that only goes forward. A store that comes back from an older copy gives offsets out again; the next records then ended below, or just at, the place to which hosts had read.

Places have the era of the answer that brought them. Hosts tell the era with each question and answer, one that the store has told at once. A source that has not read the new history yet stays the source until what its asker knows is old, so no herd reads the store.

An era that is absent, junk or falling is counted, logged once, and changes nothing (tests/platform).

--- a/src/hoistmoor/core/errors.py
+++ b/src/hoistmoor/core/errors.py
@@ -40,6 +40,16 @@
     """An append got no reply: it may or may not have taken effect."""
 
 
+class LogHistoryChangedError(PlatformError):
+    """The log came back from an older copy: places before it mean nothing."""
+
+    def __init__(self, stream: str, known: int, now: int) -> None:
+        super().__init__(
+            f"stream {stream} is in history {now}, and {known} was asked for",
+            "Read its newest records.",
+        )
+
+
 class LogOffsetExpiredError(PlatformError):
     """The wanted offset is older than the log's retention.
 
--- a/src/hoistmoor/core/relay/beliefs/history.py
+++ b/src/hoistmoor/core/relay/beliefs/history.py
@@ -16,6 +16,7 @@
 import attrs
 
 UNNAMED = 0  # Era of a store that names none.
+STORE = "store"  # Who told an era that an answer of the store has named.
 # Eras that fit beside an offset in one number; see ``topics.Place.serial``.
 MOST_ERAS = 1 << 22
 
@@ -79,7 +80,7 @@
             self.on_unusable(kind, word)
         if word.era is None or word.era < known:
             return known
-        self.learn(word.era, "store")
+        self.learn(word.era, STORE)
         return word.era
 
     def learn(self, era: int, told_by: str) -> bool:
--- a/src/hoistmoor/core/relay/beliefs/mirror.py
+++ b/src/hoistmoor/core/relay/beliefs/mirror.py
@@ -95,7 +95,9 @@
         """
         if self.end is None:
             return None
-        if place is None or not self._recent_from <= place <= self.end:
+        if place is not None and place > self.end:
+            return topics.Batch((), self.end)
+        if place is None or place < self._recent_from:
             newest = tuple(self._newest.values())
             return topics.Batch(newest, self.end, is_snapshot=True)
         # Of a key that changed several times, only the newest matters.
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -24,6 +24,8 @@
 # Seconds without an answer. The store answers in about 4 ms, a slow one was
 # seen to take a hundred times that.
 CALL_TIMEOUT = 1.0
+# Times that newest records are read anew as the history changed between pages.
+SNAPSHOT_TRIES = 3
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")  # End, and first one kept.
 _PARTITION = "0"
@@ -31,7 +33,12 @@
 
 
 class StoreTopic:
-    """One keyed topic; stateless but for the session."""
+    """One keyed topic; stateless but for the session.
+
+    Attributes:
+        topic: Its name there.
+        history: Takes the era of each answer.
+    """
 
     def __init__(
         self,
@@ -49,22 +56,35 @@
             history: Takes the era of each answer.
         """
         self.topic = topic
-        self._history = history
+        self.history = history
         self._session = session
         self._base = f"http://{address}/hoistmoor/"
 
     async def newest(self) -> topics.Batch:
         """Returns the newest record of each key."""
+        for _ in range(SNAPSHOT_TRIES):
+            try:
+                return await self._read_pages()
+            except errors.LogHistoryChangedError:
+                continue
+        raise errors.LogUnavailableError(
+            f"the store's history changed while {self.topic} was read",
+            "Wait, then try again.",
+        )
+
+    async def _read_pages(self) -> topics.Batch:
         records: list[topics.Record] = []
         end: topics.Place | None = None
         page: dict[str, Any] = {"has_more": True}
         while page["has_more"]:
             more = {"after": records[-1].key} if records else {}
-            page = orjson.loads(await self._read("log-newest", more))
-            records += [_entry(each) for each in page["entries"]]
+            body, era = await self._read("log-newest", more)
+            page = orjson.loads(body)
             # Pages are no snapshot: what changed since the first is read
             # again.
-            end = end or _place(page["end_offset"])
+            end = end or topics.Place(era, page["end_offset"])
+            self._check_era(end.era, era)
+            records += [_entry(each, era) for each in page["entries"]]
         assert end is not None
         return topics.Batch(tuple(records), end, is_snapshot=True)
 
@@ -72,7 +92,8 @@
         """Returns the records from ``place`` on."""
         offset = place.offset
         query = {"source": str(offset), "wait_ms": str(int(wait * 1000))}
-        data = await self._read("log-read", query, wait)
+        data, era = await self._read("log-read", query, wait)
+        self._check_era(place.era, era)
         end, first = _OFFSETS.unpack_from(data)
         if end < offset:
             raise errors.LogOffsetExpiredError(self.topic, offset, first)
@@ -83,12 +104,14 @@
         self, key: str, value: bytes, expected: topics.Place | None = None
     ) -> topics.Place | None:
         """Adds a record; see ``ports.KeyedTopic``."""
+        if expected is not None and expected.era != self.history.era:
+            return None
         name = key.encode()
         content = bytes([len(name)]) + name + value
         query = {}
         if expected is not None:
             query["expected_offset"] = str(expected.offset)
-        status, body = await self._call(
+        status, body, era = await self._call(
             "POST",
             "log-append",
             query,
@@ -98,19 +121,26 @@
             return None
         if status != 200:
             raise self._refused("log-append", status)
-        return _place(orjson.loads(body)["end_offset"])
+        if expected is not None and expected.era != era:
+            return None  # The condition held by chance, in another history.
+        return topics.Place(era, orjson.loads(body)["end_offset"])
 
     async def _read(
         self, call: str, query: dict[str, str], wait: float = 0.0
-    ) -> bytes:
-        status, body = await self._call("GET", call, query, b"", wait)
+    ) -> tuple[bytes, int]:
+        """Returns an answer's body and its era."""
+        status, body, era = await self._call("GET", call, query, b"", wait)
         if status == 410:
             first = orjson.loads(body)["start_offset"]
             wanted = int(query.get("source", 0))
             raise errors.LogOffsetExpiredError(self.topic, wanted, first)
         if status != 200:
             raise self._refused(call, status)
-        return body
+        return body, era
+
+    def _check_era(self, expected: int, era: int) -> None:
+        if era != expected:
+            raise errors.LogHistoryChangedError(self.topic, expected, era)
 
     async def _call(
         self,
@@ -119,8 +149,9 @@
         query: dict[str, str],
         body: bytes,
         wait: float = 0.0,
-    ) -> tuple[int, bytes]:
-        known = self._history.era
+    ) -> tuple[int, bytes, int]:
+        """Returns an answer's status, its body and its era."""
+        known = self.history.era
         try:
             async with self._session.request(
                 method,
@@ -129,8 +160,8 @@
                 data=body or None,
                 timeout=replies.timeout_of(CALL_TIMEOUT + wait),
             ) as reply:
-                self._history.take_answer(_era_of(reply.headers), known)
-                return reply.status, await reply.read()
+                era = self.history.take_answer(_era_of(reply.headers), known)
+                return reply.status, await reply.read(), era
         except replies.TRANSPORT_ERRORS as error:
             raise errors.LogOutcomeUnknownError(
                 f"the store gave no answer to {call}: {error!r}",
@@ -155,19 +186,15 @@
     return history_lib.EraWord(text, era)
 
 
-def _entry(fields: dict[str, Any]) -> topics.Record:
+def _entry(fields: dict[str, Any], era: int) -> topics.Record:
     value = fields.get("value")
     return topics.Record(
         fields["key"],
         _from_base64(value) if value else None,
-        _place(fields["offset"]),
+        topics.Place(era, fields["offset"]),
     )
 
 
-def _place(offset: int) -> topics.Place:
-    return topics.Place(history_lib.UNNAMED, offset)
-
-
 def _from_base64(text: str) -> bytes:
     try:
         return base64.b64decode(text)
--- a/src/hoistmoor/relay/peers/answers.py
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -38,6 +38,7 @@
 
     def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
         """Returns what is new to the other host."""
+        self._state.history.learn(asked.era, asked.host)
         copies = {}
         for name, place in asked.places.items():
             follower = self._followers.get(name)
@@ -64,6 +65,7 @@
             rollouts.ages(now),
             self._exchange_news(asked.news),
             limit_words.told_by(fleet, now),
+            self._state.history.era,
         )
 
     def _exchange_news(self, told: peer_codec.News) -> peer_codec.News:
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -66,6 +66,7 @@
         order_ages: Seconds since each roll-out order was seen, by its number.
         news: What changed since that host was last told.
         limits: What servers last said of their limits.
+        era: Newest history of the store that the host has heard of.
     """
 
     places: dict[str, topics.Place | None]
@@ -76,6 +77,7 @@
     order_ages: dict[int, float] = attrs.field(factory=dict)
     news: News = attrs.field(factory=News)
     limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
+    era: int = 0
 
 
 @attrs.frozen
@@ -90,6 +92,7 @@
         order_ages: Seconds since each roll-out order was seen, by its number.
         news: What changed since that host was last told.
         limits: What servers last said of their limits.
+        era: Newest history of the store that the host has heard of.
     """
 
     depth: int
@@ -99,14 +102,11 @@
     order_ages: dict[int, float] = attrs.field(factory=dict)
     news: News = attrs.field(factory=News)
     limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
+    era: int = 0
 
-    def age(self, names: frozenset[str]) -> float:
-        """Returns the age of the oldest of some topics, in seconds."""
-        ages = [
-            self.topics[name].age if name in self.topics else math.inf
-            for name in names
-        ]
-        return max(ages)
+    def age_of(self, name: str) -> float:
+        """Returns the age of a topic in seconds; infinite without a copy."""
+        return self.topics[name].age if name in self.topics else math.inf
 
 
 def encode(message: CopyRequest | CopyAnswer | mirror.Host) -> bytes:
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -214,6 +214,7 @@
             self._state.router.rollouts.ages(self._state.clock()),
             self._news.question(host.name),
             limit_words.told_by(self._state.router.fleet, self._state.clock()),
+            self._state.history.era,
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -221,6 +222,7 @@
             self._sources.note_failed(host.name, self._state.clock())
             return False
         self._sources.note_answered(host.name)
+        self._state.history.learn(answer.era, host.name)
         self._news.take(host.name, asked.news, answer.news, sent_at)
         self._state.server_beliefs.take_limits(answer.limits, sent_at)
         self._some_answered = True
@@ -229,7 +231,7 @@
             host.link,
             is_first_start=self._listing.is_first_start,
         )
-        age = answer.age(reading.DATED) + self._state.clock() - sent_at
+        age = max(self._age_by(answer, name, sent_at) for name in reading.DATED)
         if not reading.is_current(age, answer.depth):
             self._note_stale(host, age)
             return False
@@ -240,6 +242,19 @@
         self._take(answer, sent_at)
         return True
 
+    def _age_by(
+        self, answer: peer_codec.CopyAnswer, name: str, sent_at: float
+    ) -> float:
+        """Returns the age of a topic once an answer is taken, in seconds.
+
+        A source that has not read the store's newest history yet brings
+        nothing, and is no worse a source until what is known here is old.
+        """
+        copy = answer.topics.get(name)
+        if copy and self._followers[name].is_ahead_of(copy.batch):
+            return self._followers[name].age()
+        return answer.age_of(name) + self._state.clock() - sent_at
+
     def _note_stale(self, host: mirror.Host, age: float) -> None:
         """Logs it once: the host is asked again and again until it is not."""
         if host.name in self._stale:
--- a/src/hoistmoor/relay/store/era_watch.py
+++ b/src/hoistmoor/relay/store/era_watch.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from hoistmoor.core.relay.beliefs import history as history_lib
+
 if TYPE_CHECKING:
-    from hoistmoor.core.relay.beliefs import history as history_lib
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.store import follower as follower_lib
 
@@ -30,6 +31,8 @@
     def note_era(self, before: int, era: int, told_by: str) -> None:
         """Logs a new era, and where each topic ended before."""
         self._state.counters.store_era.set(era)
+        if told_by == history_lib.STORE:
+            self._state.has_urgent_news.set()
         self._state.believe(
             "store_era",
             era=era,
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -105,8 +105,10 @@
         self._is_held = is_held and not is_probe
         self._is_unproved = False
         self._drops = False  # Whether the last copy was dropped.
+        self._held: asyncio.Future[topics.Batch] | None = None
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
+        state.history.observers.append(self._note_era)
 
     async def run(self) -> None:
         """Reads until cancelled."""
@@ -121,6 +123,8 @@
             self._is_held = not self._is_probe
             try:
                 await self.read_once()
+            except errors.LogHistoryChangedError:
+                continue  # A snapshot follows: the place is of another history.
             except errors.LogOffsetExpiredError as error:
                 self._state.believe(
                     "topic_expired", topic=self.name, detail=error.problem
@@ -152,14 +156,14 @@
         """Reads one batch and tells the listener."""
         sent_at = self._state.clock()
         wait = 0.0 if self._is_urgent else self._wait
-        asked_from = self.place
-        if asked_from is None:
+        known = self.place
+        if known is None or known.era < self._state.history.era:
             batch = await self._topic.newest()
         else:
-            batch = await self._topic.changes(asked_from, wait)
+            batch = await self._read_changes(known, wait)
         self._note_heard()
         # Another host's copy may have come meanwhile, with more.
-        if self.place != asked_from and self.is_ahead_of(batch):
+        if self.is_ahead_of(batch):
             return
         current_at = sent_at
         was_held = self._state.clock() - sent_at >= wait
@@ -168,6 +172,37 @@
         self._is_unproved = bool(batch.records) and not batch.is_snapshot
         self.take(Update(batch, current_at, self.after_outage))
 
+    async def _read_changes(
+        self, place: topics.Place, wait: float
+    ) -> topics.Batch:
+        """Returns the records from a place on.
+
+        Raises:
+            LogHistoryChangedError: A new history was heard of meanwhile; the
+                store may hold the read back though it has other records now.
+        """
+        self._held = asyncio.ensure_future(self._topic.changes(place, wait))
+        try:
+            await asyncio.wait({self._held})
+            if not self._held.cancelled():
+                return self._held.result()
+        finally:
+            self._held.cancel()
+            self._held = None
+        raise errors.LogHistoryChangedError(
+            self.name, place.era, self._state.history.era
+        )
+
+    def _note_era(self, before: int, era: int, told_by: str) -> None:
+        """Ends a read in an older history; what it lacks gets time to return.
+
+        The read whose own answer tells of the history ends by itself.
+        """
+        if self.place is not None:
+            self._regained_at = self._state.clock()
+        if self._held is not None and self._held is not asyncio.current_task():
+            self._held.cancel()
+
     @property
     def _is_urgent(self) -> bool:
         """Whether the next read should be answered at once.
@@ -183,8 +218,12 @@
     def is_ahead_of(self, batch: topics.Batch) -> bool:
         """Returns whether more than a batch is known here.
 
-        Older news must not undo it, not even for a moment.
+        Older news must not undo it, not even for a moment. Where a newer
+        history is known, though nothing of it was read, a batch of an older
+        one proves nothing.
         """
+        if batch.end.era < self._state.history.era:
+            return True
         return self.place is not None and batch.end < self.place
 
     def note_dropped(self, batch: topics.Batch) -> None:
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -29,7 +29,9 @@
         """Returns the records from ``place`` on; waits for the first.
 
         Raises:
-            LogOffsetExpiredError: They are not kept any more.
+            LogOffsetExpiredError: They are not kept any more, or not there.
+            LogHistoryChangedError: The store has come back from an older copy
+                since that place was known.
         """
 
     async def put(
@@ -43,7 +45,8 @@
             expected: Add it only if the topic ends there.
 
         Returns:
-            The place after it, or None if the topic had gone on.
+            The place after it, or None if the topic had gone on, or may have:
+            a place of an older history says nothing.
         """
 
 
--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -86,9 +86,11 @@
     }
     both = attrs.evolve(found, topics=copies)
     names = frozenset(copies)
-    assertions.assert_that(both.age(names), matchers.Equals(2.5))
+    assertions.assert_that(max(map(both.age_of, names)), matchers.Equals(2.5))
     del copies[missing]
-    assertions.assert_that(both.age(names), matchers.Equals(math.inf))
+    assertions.assert_that(
+        max(map(both.age_of, names)), matchers.Equals(math.inf)
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/relay_swarm.py
+++ b/tests/relay/relay_swarm.py
@@ -13,7 +13,7 @@
 import contextlib
 import os
 import selectors
-from typing import Any, cast, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import aiohttp
 import attrs
@@ -172,26 +172,22 @@
     history: history_lib.StoreHistory
 
     @property
-    def _shared(self) -> relay_platform.MemoryTopic:
-        found = getattr(self.store.platform, self.name)
-        return cast("relay_platform.MemoryTopic", found)
+    def _shared(self) -> relay_platform.HostTopic:
+        found = self.store.platform.topics[self.name]
+        return relay_platform.HostTopic(found, self.history)
 
     async def newest(self) -> topics_lib.Batch:
         """Returns the newest record of each key."""
-        known = self.history.era
         await self._call("newest", 0.0)
-        relay_platform.note_era(self.history, self._shared, known)
         return await self._bring(await self._shared.newest())
 
     async def changes(
         self, place: topics_lib.Place, wait: float
     ) -> topics_lib.Batch:
         """Returns the records from ``place`` on."""
-        known = self.history.era
         await self._call("changes", wait)
         end = asyncio.get_running_loop().time() + wait
         while True:
-            relay_platform.note_era(self.history, self._shared, known)
             found = await self._shared.changes(place, 0.0)
             left = end - asyncio.get_running_loop().time()
             if found.records or left <= CLOCK_STEP:
@@ -207,9 +203,7 @@
         expected: topics_lib.Place | None = None,
     ) -> topics_lib.Place | None:
         """Adds a record."""
-        known = self.history.era
         await self._call("put", 0.0)
-        relay_platform.note_era(self.history, self._shared, known)
         put = await self._shared.put(key, value, expected)
         self.store.wake()
         return put
--- a/tests/relay_platform.py
+++ b/tests/relay_platform.py
@@ -49,7 +49,11 @@
         """Returns the newest record of each key."""
         self._check()
         newest = {each.key: each for each in self.records}
-        kept = tuple(each for each in newest.values() if each.value is not None)
+        kept = tuple(
+            attrs.evolve(each, place=topics.Place(self.era, each.place.offset))
+            for each in newest.values()
+            if each.value is not None
+        )
         return topics.Batch(kept, self._place(), is_snapshot=True)
 
     async def changes(self, place: topics.Place, wait: float) -> topics.Batch:
@@ -58,6 +62,10 @@
         end = asyncio.get_running_loop().time() + wait
         while True:
             self._check()
+            if place.era != self.era:
+                raise errors.LogHistoryChangedError(
+                    "topic", place.era, self.era
+                )
             if not self.first_kept <= offset <= len(self.records):
                 raise errors.LogOffsetExpiredError(
                     "topic", offset, self.first_kept
@@ -75,7 +83,7 @@
     ) -> topics.Place | None:
         """Adds a record, or drops the key if there is no value."""
         self._check()
-        if expected not in (None, self._place()):
+        if expected is not None and expected.offset != len(self.records):
             return None
         self.records.append(topics.Record(key, value or None, self._place()))
         if self.loses_answers:
@@ -83,7 +91,7 @@
         return self._place()
 
     def _place(self) -> topics.Place:
-        return topics.Place(0, len(self.records))
+        return topics.Place(self.era, len(self.records))
 
     def rewind(self, length: int) -> None:
         """Comes back from a copy that had so many records."""
@@ -123,7 +131,10 @@
         expected: topics.Place | None = None,
     ) -> topics.Place | None:
         """Adds a record, or drops the key if there is no value."""
-        return await self._call(self.topic.put(key, value, expected))
+        end = await self._call(self.topic.put(key, value, expected))
+        if end and expected and end.era != expected.era:
+            return None  # The condition held in another history.
+        return end
 
     async def _call(self, call: Awaitable[_T]) -> _T:
         known = self.history.era
