Keep the newest configuration though the store has lost it

A host that started anew while the store lacked the newest configuration was served, and served, by an older one than all others; those that asked it got the older one too. Cause: the configuration came from the topic alone, where a newer history has an older record.

The highest revision wins in any history. A host passes on the record that it uses, not an older one of the store; hosts tell their revision with each question and answer, and the record where the other's is older and no topic brings it. A host that starts asks a few others before it reads the store, also where it stands first. The lease goes on by what the store answers: a change that nobody read before the loss is in force once it is written again.

--- a/src/hoistmoor/core/relay/beliefs/mirror.py
+++ b/src/hoistmoor/core/relay/beliefs/mirror.py
@@ -21,7 +21,7 @@
 from hoistmoor.core.relay.beliefs import topics
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 KEPT = 512  # Changes of a topic that are passed on one by one.
 # Hosts asked before the store is. The store turns away a third of the hosts
@@ -87,6 +87,11 @@
             self._recent_from = self._recent[0].place.after(1)
         self._recent.append(record)
 
+    def hold(self, records: Iterable[topics.Record]) -> None:
+        """Has snapshots bring records that the store may have lost."""
+        for record in records:
+            self._newest[record.key] = record
+
     def copy_from(self, place: topics.Place | None) -> topics.Batch | None:
         """Returns what is new since ``place``; None if nothing was read.
 
--- a/src/hoistmoor/relay/peers/answers.py
+++ b/src/hoistmoor/relay/peers/answers.py
@@ -11,6 +11,7 @@
 from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
+    from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.store import follower as follower_lib
 
@@ -39,6 +40,8 @@
     def answer(self, asked: peer_codec.CopyRequest) -> peer_codec.CopyAnswer:
         """Returns what is new to the other host."""
         self._state.history.learn(asked.era, asked.host)
+        if asked.configuration is not None:
+            self._followers["operator"].hold(asked.configuration)
         copies = {}
         for name, place in asked.places.items():
             follower = self._followers.get(name)
@@ -66,8 +69,24 @@
             self._exchange_news(asked.news),
             limit_words.told_by(fleet, now),
             self._state.history.era,
+            self._state.revision,
+            self._configuration_for(asked, copies),
         )
 
+    def _configuration_for(
+        self,
+        asked: peer_codec.CopyRequest,
+        copies: dict[str, peer_codec.TopicCopy],
+    ) -> topics.Record | None:
+        """Returns the configuration that the other host lacks, if it does."""
+        held = self._state.configuration_record
+        if held is None or asked.revision >= self._state.revision:
+            return None
+        copy = copies.get("operator")
+        if copy is None or held in copy.batch.records:
+            return None
+        return held
+
     def _exchange_news(self, told: peer_codec.News) -> peer_codec.News:
         """Takes what the other host tells; returns what is new here."""
         news_exchange.take(self._state, told, self._state.clock())
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -8,7 +8,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import mirror
-from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.beliefs import topics as topics_lib
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import outstanding
 from hoistmoor.core.relay.servers import suspect_state
@@ -27,7 +27,7 @@
         age: Seconds since the topic was known to be current there.
     """
 
-    batch: topics.Batch
+    batch: topics_lib.Batch
     after_outage: float
     age: float
 
@@ -67,9 +67,12 @@
         news: What changed since that host was last told.
         limits: What servers last said of their limits.
         era: Newest history of the store that the host has heard of.
+        revision: Of the configuration in force there; -1 for none.
+        configuration: The record that holds it, where the asked host had an
+            older one.
     """
 
-    places: dict[str, topics.Place | None]
+    places: dict[str, topics_lib.Place | None]
     host: str = ""
     work: outstanding.WorkByServer = attrs.field(factory=dict)
     evidence: tuple[evidence_lib.Evidence, ...] = ()
@@ -78,6 +81,8 @@
     news: News = attrs.field(factory=News)
     limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
     era: int = 0
+    revision: int = -1
+    configuration: topics_lib.Record | None = None
 
 
 @attrs.frozen
@@ -93,6 +98,9 @@
         news: What changed since that host was last told.
         limits: What servers last said of their limits.
         era: Newest history of the store that the host has heard of.
+        revision: Of the configuration in force there; -1 for none.
+        configuration: The record that holds it, where the asking host has an
+            older one that no topic brings up to date.
     """
 
     depth: int
@@ -103,6 +111,8 @@
     news: News = attrs.field(factory=News)
     limits: dict[str, limits_lib.LimitWord] = attrs.field(factory=dict)
     era: int = 0
+    revision: int = -1
+    configuration: topics_lib.Record | None = None
 
     def age_of(self, name: str) -> float:
         """Returns the age of a topic in seconds; infinite without a copy."""
--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import mirror
+    from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.core.relay.servers import outstanding
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.peers import listing as listing_lib
@@ -74,6 +75,8 @@
         self._hosts = followers["hosts"]
         self._client = client
         self._news = news_exchange.NewsExchange(state)
+        # Of the configurations of other hosts, as they last answered.
+        self._revisions: dict[str, int] = {}
 
     async def run(self) -> None:
         """Asks until cancelled."""
@@ -184,13 +187,23 @@
                 return host.name
             if self._has_all() and self._age() > reading.OLDEST_OWN:
                 break  # Another silent host would take too long.
-        if self._gate.is_heard or self._age() <= reading.OLDEST_OWN:
+        if not self._asks_any():
             return ""
         for host in self._sources.any_others(self._state.clock()):
             if await self._ask(host, is_before=False):
                 return host.name
         return ""
 
+    def _asks_any(self) -> bool:
+        """Returns whether hosts after this one in the order may know more.
+
+        They do where the store has lost what was written before this host
+        started, or turns this host away.
+        """
+        if not self._has_all() and not self._listing.is_first_start:
+            return True
+        return not self._gate.is_heard and self._age() > reading.OLDEST_OWN
+
     async def _ask(self, host: mirror.Host, *, is_before: bool = True) -> bool:
         """Returns whether a host answered with something current.
 
@@ -215,6 +228,8 @@
             self._news.question(host.name),
             limit_words.told_by(self._state.router.fleet, self._state.clock()),
             self._state.history.era,
+            self._state.revision,
+            self._configuration_for(host),
         )
         sent_at = self._state.clock()
         answer = await self._client.ask(host, asked)
@@ -223,6 +238,7 @@
             return False
         self._sources.note_answered(host.name)
         self._state.history.learn(answer.era, host.name)
+        self._revisions[host.name] = answer.revision
         self._news.take(host.name, asked.news, answer.news, sent_at)
         self._state.server_beliefs.take_limits(answer.limits, sent_at)
         self._some_answered = True
@@ -242,6 +258,13 @@
         self._take(answer, sent_at)
         return True
 
+    def _configuration_for(self, host: mirror.Host) -> topics.Record | None:
+        """Returns the configuration that another host lacks, if it does."""
+        theirs = self._revisions.get(host.name, -1)
+        if theirs < 0 or theirs >= self._state.revision:
+            return None
+        return self._state.configuration_record
+
     def _age_by(
         self, answer: peer_codec.CopyAnswer, name: str, sent_at: float
     ) -> float:
@@ -278,6 +301,8 @@
             follower.take(
                 follower_lib.Update(topic.batch, current_at, topic.after_outage)
             )
+        if answer.configuration is not None:
+            self._followers["operator"].hold(answer.configuration)
         # After the topics, which may bring the orders themselves.
         self._state.router.rollouts.take_ages(
             answer.order_ages, self._state.clock()
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -36,6 +36,8 @@
         history: The store's history, as far as this host knows.
         evidence: Counts in roll-outs of the hosts that ask this one.
         configuration: In force here; None before the first.
+        configuration_record: The record that holds it, which the store may
+            have lost.
         topics_read: Topics whose newest records were read.
         draining: Whether a stop signal came; requests are still taken.
         stopping: Whether new requests are refused.
@@ -61,6 +63,7 @@
         factory=evidence_lib.EvidenceBook
     )
     configuration: configuration_lib.Configuration | None = None
+    configuration_record: topics.Record | None = None
     topics_read: set[str] = attrs.field(factory=set)
     draining: bool = False
     stopping: bool = False
@@ -82,6 +85,11 @@
         self.log.write(kind, **fields)
         self.counters.beliefs.labels(kind).inc()
 
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration in force here; -1 for none."""
+        return self.configuration.revision if self.configuration else -1
+
     def note_unreadable(
         self, kind: str, record: topics.Record, error: Exception
     ) -> None:
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -260,6 +260,17 @@
         self._state.topics_read.add(self.name)
         self.known.set()
 
+    def hold(self, record: topics.Record) -> None:
+        """Takes a record that another host has from an older history.
+
+        It proves nothing of the time at which it was current.
+        """
+        if self.place is None:
+            return
+        batch = topics.Batch((record,), self.place)
+        update = Update(batch, float("-inf"), float("inf"))
+        self.mirror.hold(self._listener(update))
+
     def _end_outage(self, current_at: float) -> None:
         """Ends an outage that another host has seen the end of.
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -27,16 +27,31 @@
         self._codec = codec
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
-        """Takes one update; each proves the configuration current."""
-        for record in update.batch.records:
-            try:
-                self._take(record)
-            except errors.CodecError as error:
-                self._state.note_unreadable("operator", record, error)
+        """Takes one update; each proves the configuration current.
+
+        Others should have no older configuration than this host, and its own
+        where a snapshot has an older one.
+        """
+        kept = [each for each in update.batch.records if self._takes(each)]
         self._take_evacuations(update.batch)
-        if self._state.configuration is not None:
+        held = self._state.configuration_record
+        if update.batch.is_snapshot and held is not None and held not in kept:
+            self._state.believe(
+                "configuration_held", revision=self._state.revision
+            )
+            kept.append(held)
+        is_proof = update.current_at > float("-inf")
+        if is_proof and self._state.configuration is not None:
             self._state.lease.prove(update.current_at)
-        return update.batch.records
+        return tuple(kept)
+
+    def _takes(self, record: topics.Record) -> bool:
+        """Takes a record; returns whether others should have it."""
+        try:
+            return self._take(record)
+        except errors.CodecError as error:
+            self._state.note_unreadable("operator", record, error)
+            return True
 
     def _take_evacuations(self, batch: topics.Batch) -> None:
         """Takes which failure domains are evacuated after a batch."""
@@ -58,16 +73,16 @@
             "evacuated", zones=sorted(zones), place=batch.end.text
         )
 
-    def _take(self, record: topics.Record) -> None:
+    def _take(self, record: topics.Record) -> bool:
+        """Takes a record; returns whether others should have it."""
         if record.value is None:
-            return
+            return True
         found = self._codec.configuration(record)
         if found is not None:
-            self._take_configuration(found)
-            return
+            return self._take_configuration(found, record)
         order = self._codec.order(record)
         if order is None:
-            return
+            return True
         if self._state.router.rollouts.take_order(order, self._state.clock()):
             self._state.believe(
                 "rollout_ordered",
@@ -76,12 +91,22 @@
                 number=order.number,
                 duration=order.duration,
             )
+        return True
+
+    def _take_configuration(
+        self, found: configuration.Configuration, record: topics.Record
+    ) -> bool:
+        """Takes a configuration unless a newer one is known.
 
-    def _take_configuration(self, found: configuration.Configuration) -> None:
+        A store that comes back from an older copy must not bring back what
+        was replaced.
+        """
         known = self._state.configuration
-        # A store that was rewound must not bring back what was replaced.
-        if known is not None and found.revision <= known.revision:
-            return
+        if known is not None and found.revision < known.revision:
+            return False
+        self._state.configuration_record = record
+        if known is not None and found.revision == known.revision:
+            return True
         self._state.configuration = found
         self._state.router.fleet.warmups.take_services(found.services)
         self._state.believe(
@@ -90,6 +115,7 @@
             before=known.revision if known else None,
             routes=len(found.routes),
         )
+        return True
 
 
 class ServerListener:
--- a/tests/relay/peers/test_relay_returned_store_swarm.py
+++ b/tests/relay/peers/test_relay_returned_store_swarm.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
+import pytest
 import relay_parts
 import relay_swarm
 from testtools import assertions
 from testtools import matchers
 
-if TYPE_CHECKING:
-    import pytest
-
 SIZES = (7, 84, 360)
 AWAY = 1.0  # Seconds for which the store is away.
 
@@ -61,3 +58,37 @@
 
     for hosts in SIZES:
         relay_swarm.play(monkeypatch, scenario(hosts))
+
+
+@pytest.mark.parametrize("hosts", SIZES)
+def test_hosts_that_restart_know_what_the_store_has_lost(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    # Also the one that reads the store for all, and then all that ask it.
+    async def scenario() -> None:
+        swarm = await relay_swarm.calm_swarm(hosts)
+        copy = swarm.store.platform.copy()
+        await publish(swarm, 5)
+        await swarm.until(lambda each: each.revision == 5)
+        await return_from(swarm, copy)
+        await asyncio.sleep(1.0)
+        readers = [each for each in swarm.members if each.reads]
+        for member in {*readers, *swarm.members[::3]}:
+            member.stop()
+            await asyncio.sleep(0.01)
+            member.start()
+        await asyncio.sleep(0.05)
+        before = max(0, *(each.revision for each in swarm.members))
+        assertions.assert_that(before, matchers.Equals(5))
+        # None is current with what the store says now.
+        for _ in range(100):
+            older = [
+                each.name
+                for each in swarm.members
+                if each.is_current and each.revision != 5
+            ]
+            assertions.assert_that(older, matchers.Equals([]))
+            await asyncio.sleep(0.02)
+        await obey_within(swarm, 6)
+
+    relay_swarm.play(monkeypatch, scenario())
