Hold evacuations, orders and phases as they were while a lost record returns

By reading, for the class: where the store came back from an older copy, an evacuation that it lacked ended at once, one that had been taken back began again, an order that operators wrote again began its roll-out anew (a version that was found bad got requests again), the order before it came back, and a phase could go back. Cause: known by offset or by absence alone.

What the new history lacks of evacuations holds for ten seconds, or until it says otherwise; what it has again is known by its offset. An order that says the same is the same one under another number, with its age, counts and doubts; the draw of sessions rests on the version, not on that number. Of two phases of one order the further one holds.

--- a/src/hoistmoor/core/relay/beliefs/history.py
+++ b/src/hoistmoor/core/relay/beliefs/history.py
@@ -17,6 +17,9 @@
 
 UNNAMED = 0  # Era of a store that names none.
 STORE = "store"  # Who told an era that an answer of the store has named.
+# Seconds for which what a new history lacks is held as it was known. Operators
+# and servers write again what was lost; after that it was taken back.
+HELD_FOR = 10.0
 # Eras that fit beside an offset in one number; see ``topics.Place.serial``.
 MOST_ERAS = 1 << 22
 
--- a/src/hoistmoor/core/relay/beliefs/topics.py
+++ b/src/hoistmoor/core/relay/beliefs/topics.py
@@ -38,6 +38,11 @@
         return Place(self.era, self.offset + count)
 
 
+def place_of(serial: int) -> Place:
+    """Returns the place that has a serial."""
+    return Place(serial >> OFFSET_BITS, serial & ((1 << OFFSET_BITS) - 1))
+
+
 START = Place(0, 0)  # Of any topic.
 
 
--- a/src/hoistmoor/core/relay/versions/phases.py
+++ b/src/hoistmoor/core/relay/versions/phases.py
@@ -13,6 +13,7 @@
 import attrs
 import xxhash
 
+from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 
 SPREAD_AT = 0.6  # Part of the time allowed after which all requests move.
@@ -36,6 +37,11 @@
         """Whether nothing may follow it."""
         return self in (Phase.COMPLETE, Phase.REVERTED)
 
+    @property
+    def rank(self) -> int:
+        """How far it is; of two hosts' words the further one holds."""
+        return tuple(Phase).index(self)
+
 
 @attrs.frozen
 class Order:
@@ -45,7 +51,8 @@
         service: The service.
         target: The version that all requests are to go to.
         duration: Seconds allowed.
-        number: Offset of the order's record; rises with each order.
+        number: Serial of the place of the order's record; rises with each
+            order.
     """
 
     service: str
@@ -53,6 +60,15 @@
     duration: float
     number: int
 
+    @property
+    def place(self) -> topics.Place:
+        """Place of the order's record."""
+        return topics.place_of(self.number)
+
+    def says_as(self, other: Order) -> bool:
+        """Returns whether it orders the same as another one."""
+        return self == attrs.evolve(other, number=self.number)
+
 
 @attrs.frozen
 class PhaseRecord:
@@ -70,6 +86,27 @@
     number: int
     phase: Phase
 
+    def is_of(self, order: Order) -> bool:
+        """Returns whether it is a phase of an order's roll-out.
+
+        The copy that a store comes back from has the order where it was, and
+        phases that were written before.
+        """
+        return (self.service, self.target) == (
+            order.service,
+            order.target,
+        ) and _is_same_order(self.number, order.number)
+
+    def is_behind(self, other: PhaseRecord) -> bool:
+        """Returns whether another record of the same target goes further."""
+        if _is_same_order(self.number, other.number):
+            return self.phase.rank < other.phase.rank
+        return self.number < other.number
+
+
+def _is_same_order(number: int, other: int) -> bool:
+    return topics.place_of(number).offset == topics.place_of(other).offset
+
 
 def next_phase(
     phase: Phase,
--- a/src/hoistmoor/core/relay/versions/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.relay.versions import progress as progress_lib
@@ -30,26 +32,61 @@
         self.progress: dict[str, progress_lib.Progress] = {}
         self.withdrawn: dict[str, set[str]] = {}
         self._phases: dict[tuple[str, str], phases.PhaseRecord] = {}
+        # Targets and offsets of all orders that were ever taken, by service.
+        self._taken: dict[str, set[tuple[str, int]]] = {}
 
     def take_order(self, order: phases.Order, now: float) -> bool:
-        """Takes an order; returns whether it is news."""
+        """Takes an order; returns whether it is news.
+
+        What a newer history of the store has again of the order that is under
+        way, or of one before it, begins nothing anew.
+        """
         known = self.progress.get(order.service)
-        if known is not None and known.order.number >= order.number:
-            return False
+        if known is not None:
+            if known.order.number >= order.number:
+                return False
+            if known.is_again(order, now):
+                self._renumber(known, order, now)
+                return False
+            if self._was_taken(known, order):
+                return False
+        self._taken.setdefault(order.service, set()).add(
+            (order.target, order.place.offset)
+        )
         self.progress[order.service] = progress_lib.Progress(order, now)
         record = self._phases.get((order.service, order.target))
         if record is not None:
             self.take_phase(record)
         return True
 
+    def _renumber(
+        self, known: progress_lib.Progress, order: phases.Order, now: float
+    ) -> None:
+        """Has a roll-out go on under the number that its order has now."""
+        key = (order.service, order.target)
+        record = self._phases.get(key)
+        if record is not None and record.is_of(known.order):
+            self._phases[key] = attrs.evolve(record, number=order.number)
+        known.renumber(order, now)
+
+    def _was_taken(
+        self, known: progress_lib.Progress, order: phases.Order
+    ) -> bool:
+        """Returns whether an order of an older copy was replaced since."""
+        is_returned = order.place.era > known.order.place.era
+        name = (order.target, order.place.offset)
+        return is_returned and name in self._taken.get(order.service, ())
+
     def take_phase(self, record: phases.PhaseRecord) -> bool:
         """Takes a phase from the store; returns whether it is news."""
         key = (record.service, record.target)
         known = self._phases.get(key)
+        if known is not None and record.is_behind(known):
+            return False
         self._phases[key] = record
         self._note_withdrawn(record)
         progress = self.progress.get(record.service)
-        if progress is not None and progress.order.number == record.number:
+        if progress is not None and record.is_of(progress.order):
             progress.phase = record.phase
         return known != record
 
@@ -159,7 +196,7 @@
             return progress.elapsed(
                 now
             ) >= sessions_lib.SESSIONS_AT and sessions_lib.is_drawn(
-                session, progress.order.number
+                session, progress.order.service, target
             )
         return progress.sent_target < TRIAL_SHARE * progress.sent
 
--- a/src/hoistmoor/core/relay/versions/sessions.py
+++ b/src/hoistmoor/core/relay/versions/sessions.py
@@ -15,9 +15,13 @@
 SESSION_SHARE = 0.35
 
 
-def is_drawn(session: str, number: int) -> bool:
-    """Returns whether a session may join the trial of an order."""
-    drawn = xxhash.xxh64_intdigest(f"{number} {session}".encode())
+def is_drawn(session: str, service: str, target: str) -> bool:
+    """Returns whether a session may join the trial of a version.
+
+    The number of the order does not count: it changes where the order is
+    written again.
+    """
+    drawn = xxhash.xxh64_intdigest(f"{service} {target} {session}".encode())
     return drawn < SESSION_SHARE * (1 << 64)
 
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay.beliefs import evacuations
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
@@ -25,6 +26,7 @@
     def __init__(self, state: state_lib.RelayState, codec: ports.Codec) -> None:
         self._state = state
         self._codec = codec
+        self._evacuations = evacuations.Evacuations()
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; each proves the configuration current.
@@ -55,20 +57,18 @@
 
     def _take_evacuations(self, batch: topics.Batch) -> None:
         """Takes which failure domains are evacuated after a batch."""
-        fleet = self._state.router.fleet
-        # What a snapshot lacks was taken back.
-        zones = set() if batch.is_snapshot else set(fleet.evacuated)
-        for record in batch.records:
-            zone = self._codec.evacuated_zone(record)
-            if zone is None:
-                continue
-            if record.value is None:
-                zones.discard(zone)
-            else:
-                zones.add(zone)
-        if zones == fleet.evacuated:
+        now = self._state.clock()
+        words = [
+            evacuations.ZoneWord(zone, record.value is not None, record.place)
+            for record in batch.records
+            if (zone := self._codec.evacuated_zone(record)) is not None
+        ]
+        if not self._evacuations.take(
+            words, batch.end, now, is_snapshot=batch.is_snapshot
+        ):
             return
-        fleet.evacuate(frozenset(zones), self._state.clock())
+        zones = self._evacuations.zones
+        self._state.router.fleet.evacuate(zones, now)
         self._state.believe(
             "evacuated", zones=sorted(zones), place=batch.end.text
         )
--- /dev/null
+++ b/tests/core/relay/versions/test_relay_returned_orders.py
@@ -0,0 +1,99 @@
+"""Roll-outs over returns of the store from an older copy."""
+
+from __future__ import annotations
+
+import pytest
+import relay_parts
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.beliefs import history
+from hoistmoor.core.relay.versions import phases
+from hoistmoor.core.relay.versions import rollouts
+
+NOW = 100.0
+
+
+def order(target: str, offset: int, era: int = 1) -> phases.Order:
+    number = relay_parts.at(offset, era).serial
+    return phases.Order("llm", target, 60.0, number)
+
+
+def phase(target: str, offset: int, era: int, name: str) -> phases.PhaseRecord:
+    number = relay_parts.at(offset, era).serial
+    return phases.PhaseRecord("llm", target, number, phases.Phase(name))
+
+
+@pytest.fixture
+def book() -> rollouts.RolloutBook:
+    """A roll-out of v3 that spreads; the one of v2 before is complete."""
+    made = rollouts.RolloutBook(5.0)
+    made.take_order(order("v2", 4), NOW - 50.0)
+    made.take_phase(phase("v2", 4, 1, "complete"))
+    made.take_order(order("v3", 9), NOW)
+    made.take_phase(phase("v3", 9, 1, "spread"))
+    made.progress["llm"].is_doubted = True
+    return made
+
+
+def test_an_order_that_is_written_again_goes_on(
+    book: rollouts.RolloutBook,
+) -> None:
+    before = book.progress["llm"]
+    # The copy has the order before, which was replaced.
+    is_news = book.take_order(order("v2", 4, 2), NOW + 2.0)
+    assertions.assert_that(is_news, matchers.Is(False))
+    is_news = book.take_order(order("v3", 7, 2), NOW + 3.0)
+    assertions.assert_that(is_news, matchers.Is(False))
+    found = book.progress["llm"]
+    assertions.assert_that(found, matchers.Is(before))
+    assertions.assert_that(found.seen_at, matchers.Equals(NOW))
+    assertions.assert_that(found.phase, matchers.Equals(phases.Phase.SPREAD))
+    assertions.assert_that(found.is_doubted, matchers.Is(True))
+    assertions.assert_that(
+        book.doubts(), matchers.Equals((relay_parts.at(7, 2).serial,))
+    )
+
+
+def test_an_order_that_the_copy_has_and_that_is_written_again_is_one(
+    book: rollouts.RolloutBook,
+) -> None:
+    before = book.progress["llm"]
+    for offset in (9, 11):
+        book.take_order(order("v3", offset, 2), NOW + 2.0)
+    assertions.assert_that(book.progress["llm"], matchers.Is(before))
+    # Long after the return it is an order of its own.
+    later = NOW + 2.0 + history.HELD_FOR
+    is_news = book.take_order(order("v3", 15, 2), later)
+    assertions.assert_that(is_news, matchers.Is(True))
+
+
+def test_a_new_order_after_the_return_is_taken(
+    book: rollouts.RolloutBook,
+) -> None:
+    is_news = book.take_order(order("v4", 2, 2), NOW + 2.0)
+    assertions.assert_that(is_news, matchers.Is(True))
+    found = book.progress["llm"]
+    assertions.assert_that(found.phase, matchers.Equals(phases.Phase.TRIAL))
+
+
+def test_a_phase_of_an_older_copy_undoes_nothing(
+    book: rollouts.RolloutBook,
+) -> None:
+    book.take_phase(phase("v3", 9, 1, "reverted"))
+    book.take_order(order("v3", 9, 2), NOW + 2.0)
+    is_news = book.take_phase(phase("v3", 9, 1, "spread"))
+    assertions.assert_that(is_news, matchers.Is(False))
+    assertions.assert_that(
+        book.progress["llm"].phase, matchers.Equals(phases.Phase.REVERTED)
+    )
+    assertions.assert_that("v3" in book.withdrawn["llm"], matchers.Is(True))
+
+
+def test_a_host_that_starts_takes_the_phases_that_the_copy_has() -> None:
+    made = rollouts.RolloutBook(5.0)
+    made.take_order(order("v2", 4, 3), NOW)
+    made.take_phase(phase("v2", 4, 1, "complete"))
+    assertions.assert_that(
+        made.progress["llm"].phase, matchers.Equals(phases.Phase.COMPLETE)
+    )
