Let no server that has left come back with an older copy of the store

By reading, for the class: a server that had left, or said so, was taken for ready again where the copy had its older entry and told no start, and was passed on to hosts that start. Cause: what a newer history says was believed whatever its sequence.

--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -115,6 +115,18 @@
         """Yields all servers."""
         return iter(tuple(self.servers.values()))
 
+    def is_returned(self, entry: server_lib.ServerEntry) -> bool:
+        """Returns whether an older copy of the store brought an entry back.
+
+        The server has left since, or has said more.
+        """
+        known = self.servers.get(entry.server_id)
+        if known is not None:
+            is_same = entry == known.entry
+            return not is_same and entry.is_returned(known.entry)
+        removed = self._removed.get(entry.server_id)
+        return removed is not None and entry.is_returned(removed.entry)
+
     def put(self, entry: server_lib.ServerEntry, now: float = 0.0) -> bool:
         """Takes an entry; returns whether it changes what to do.
 
--- a/src/hoistmoor/relay/store/listeners.py
+++ b/src/hoistmoor/relay/store/listeners.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import evacuations
+from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import evidence as evidence_lib
@@ -19,6 +20,8 @@
     from hoistmoor.relay.store import follower
     from hoistmoor.relay.store import ports
 
+MOST_NAMED = 20  # Keys that one line names.
+
 
 class OperatorListener:
     """Takes configurations, roll-out orders and evacuations."""
@@ -126,8 +129,10 @@
         self._codec = codec
         # Keys whose newest record says nothing, with its place. What follows
         # there is news to others, who may have that record from here.
-        self._unreadable: dict[str, topics.Place] = {}
+        self._silent: dict[str, topics.Place] = {}
         self._tells_starts = False  # Whether servers tell when they started.
+        self._era = history_lib.UNNAMED
+        self._returned: set[str] = set()  # Whose entries tell nothing new.
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; a mere heartbeat is no news to others."""
@@ -144,16 +149,29 @@
             news = [
                 record
                 for record in batch.records
-                if record.key not in self._unreadable
+                if record.key not in self._silent
             ]
+        self._note_returned(batch)
         for server_id in self._fleet.drop_lapsed(now):
             self._state.believe("server_gone", server=server_id, why="lapsed")
         return tuple(news)
 
+    def _note_returned(self, batch: topics.Batch) -> None:
+        """Logs which servers a newer history has as they were before."""
+        self._era = batch.end.era
+        if self._returned:
+            self._state.believe(
+                "servers_returned",
+                servers=sorted(self._returned)[:MOST_NAMED],
+                count=len(self._returned),
+                place=batch.end.text,
+            )
+        self._returned = set()
+
     def _take(self, record: topics.Record, doubt_ends: float) -> bool:
         """Returns whether the record says something new."""
         if record.value is None:
-            self._unreadable.pop(record.key, None)
+            self._silent.pop(record.key, None)
             self._remove(record.key, doubt_ends)
             return True
         return self._put(record)
@@ -168,14 +186,19 @@
             entry = self._read(record)
         except errors.CodecError as error:
             # Another writer's: what the server itself has said still holds.
-            if self._unreadable.get(record.key) != record.place:
+            if self._silent.get(record.key) != record.place:
                 self._state.note_unreadable("server", record, error)
-            self._unreadable[record.key] = record.place
+            self._silent[record.key] = record.place
+            return False
+        was_silent = self._silent.pop(record.key, None) is not None
+        is_snapshot_of_newer = record.place.era > self._era
+        if is_snapshot_of_newer and self._fleet.is_returned(entry):
+            self._returned.add(record.key)
+            self._silent[record.key] = record.place
             return False
-        was_unreadable = self._unreadable.pop(record.key, None) is not None
         before = self._fleet.servers.get(entry.server_id)
         if not self._fleet.put(entry, self._state.clock()):
-            return was_unreadable
+            return was_silent
         if before and before is not self._fleet.servers[entry.server_id]:
             self._state.server_beliefs.note_replaced(before)
         self._state.believe(
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from typing import TYPE_CHECKING
 
 import attrs
-import orjson
 import pytest
 import relay_parts
 import relay_platform
@@ -19,51 +17,17 @@
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.relay import event_log
-from hoistmoor.relay import state as state_lib
 from hoistmoor.relay.store import follower
 from hoistmoor.relay.store import lease_watch
 from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from conftest import Rig
 
     from hoistmoor.core.relay.versions import phases
 
 
-@attrs.define
-class Rig:
-    """A state, the clock it goes by, and its log lines."""
-
-    state: state_lib.RelayState
-    clock: relay_states.Clock
-    lines: int
-
-    def events(self) -> list[dict[str, object]]:
-        """Returns the lines written so far."""
-        with open(self.lines, "rb", closefd=False) as pipe:
-            data = pipe.read() or b""
-        return [orjson.loads(line) for line in data.splitlines()]
-
-
-@pytest.fixture
-def rig() -> Iterator[Rig]:
-    """A state of a host that has read nothing."""
-    reading, writing = os.pipe()
-    os.set_blocking(reading, False)
-    clock = relay_states.Clock()
-    state = relay_states.fresh(clock, writing)
-    yield Rig(state, clock, reading)
-    os.close(reading)
-    os.close(writing)
-
-
-@pytest.fixture
-def platform() -> relay_platform.MemoryPlatform:
-    """An empty platform."""
-    return relay_platform.MemoryPlatform()
-
-
 @pytest.fixture
 def servers(
     rig: Rig, platform: relay_platform.MemoryPlatform
--- /dev/null
+++ b/tests/relay/store/test_relay_returned_servers.py
@@ -0,0 +1,140 @@
+"""What a host believes of servers when the store comes back from a copy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import relay_parts
+import relay_platform
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.relay.store import follower
+from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import store_gate
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from conftest import Rig
+
+    from hoistmoor.core.relay.beliefs import topics
+
+
+@pytest.fixture
+def servers(
+    rig: Rig, platform: relay_platform.MemoryPlatform
+) -> follower.TopicFollower:
+    """Follows the entries of backend servers."""
+    return follower.TopicFollower(
+        rig.state,
+        "servers",
+        relay_platform.HostTopic(platform.servers, rig.state.history),
+        listeners.ServerListener(rig.state, platform.codec),
+        wait=0.0,
+        pause=0.0,
+        gate=store_gate.StoreGate(),
+    )
+
+
+async def say(
+    platform: relay_platform.MemoryPlatform, name: str, **fields: Any
+) -> None:
+    entry = relay_parts.entry(name, address=f"{name}:1", **fields)
+    await platform.publish(platform.servers, name, entry)
+
+
+def usable(rig: Rig) -> set[str]:
+    found = rig.state.router.fleet.usable("desk", rig.clock.now)
+    return {each.entry.server_id for each in found}
+
+
+async def come_back(
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+    copy: dict[str, int],
+) -> None:
+    platform.rewind(copy)
+    servers._state.history.learn(platform.servers.era, "h2")
+    await servers.read_once()
+
+
+@pytest.mark.parametrize("born", [None, 1000])
+async def test_a_server_that_left_does_not_come_back_with_the_store(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+    born: int | None,
+) -> None:
+    for name in ("gone", "leaving", "stays"):
+        await say(platform, name, born=born, sequence=4)
+    await servers.read_once()
+    copy = platform.copy()
+    await platform.publish(platform.servers, "gone", None)
+    await say(platform, "leaving", born=born, sequence=5, is_leaving=True)
+    await servers.read_once()
+    await come_back(platform, servers, copy)
+    assertions.assert_that(usable(rig), matchers.Equals({"stays"}))
+    # Nor do hosts learn of them here that start now.
+    found = servers.mirror.copy_from(None)
+    assert found is not None
+    assertions.assert_that(
+        [each.key for each in found.records], matchers.Equals(["stays"])
+    )
+    # A heartbeat says more than the copy.
+    await say(platform, "leaving", born=born, sequence=6, is_leaving=True)
+    await say(platform, "gone", born=born, sequence=5)
+    await servers.read_once()
+    assertions.assert_that(usable(rig), matchers.Equals({"stays", "gone"}))
+    found = servers.mirror.copy_from(None)
+    assert found is not None
+    assertions.assert_that(found.records, matchers.HasLength(3))
+    lines = [e for e in rig.events() if e["event"] == "servers_returned"]
+    assertions.assert_that(
+        [each["servers"] for each in lines],
+        matchers.Equals([["gone", "leaving"]]),
+    )
+
+
+async def test_servers_that_the_store_has_lost_get_time_to_return(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    copy = platform.copy()
+    for name in ("lives", "ended"):
+        await say(platform, name)
+    await servers.read_once()
+    rig.clock.now += 60.0
+    await come_back(platform, servers, copy)
+    assertions.assert_that(usable(rig), matchers.Equals({"lives", "ended"}))
+    await say(platform, "lives")
+    rig.clock.now += fleet_lib.LAPSE_GRACE + 0.1
+    await servers.read_once()
+    assertions.assert_that(usable(rig), matchers.Equals({"lives"}))
+
+
+async def test_an_answer_of_an_older_history_that_comes_late_changes_nothing(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+) -> None:
+    await say(platform, "a")
+    await servers.read_once()
+    await say(platform, "late")
+    late = await platform.servers.changes(relay_parts.at(1), 0.0)
+    rig.state.history.learn(1, "h2")
+    assertions.assert_that(servers.is_ahead_of(late), matchers.Is(True))
+    proved_at = servers.current_at
+    rig.clock.now += 1.0
+
+    class LateTopic(relay_platform.MemoryTopic):
+        async def newest(self) -> topics.Batch:
+            return late
+
+    servers._topic = LateTopic()
+    await servers.read_once()
+    assertions.assert_that(usable(rig), matchers.Equals({"a"}))
+    assertions.assert_that(servers.current_at, matchers.Equals(proved_at))
