Have the store of the soak and of the tree's property test lose writes

The soak checks besides that no valid key and no route is refused as an older configuration says. The property test has the store come back at any moment, late answers of older histories among the rest, and at the end all hosts know what the store says. Two mutants are found: copies judged by their offset alone, and a host that takes an older configuration.

--- a/tests/relay/peers/test_relay_tree_stateful.py
+++ b/tests/relay/peers/test_relay_tree_stateful.py
@@ -3,13 +3,14 @@
 Three hosts pass the operators' topic on: one reads the store, the next asks
 it, the last asks that one; at times any of them reads the store. Reads and
 answers take any time on their way, a host may pause before it takes what has
-come, and hosts start again. At each step the lease of each host must tell the
-truth, and no host may go back.
+come, hosts start again, and the store comes back from an older copy. At each
+step the lease of each host must tell the truth, and no host may go back.
 """
 
 from __future__ import annotations
 
 import os
+from typing import Any
 
 import attrs
 from hypothesis import settings
@@ -38,10 +39,11 @@
 
 @attrs.define
 class Published:
-    """A revision, and when the store took it."""
+    """A revision, when the store took it, and when it lost it."""
 
     revision: int
     at: float
+    lost_at: float = float("inf")
 
 
 @attrs.define
@@ -111,6 +113,7 @@
         self.published: list[Published] = []
         self.hosts = {number: self.start() for number in HOSTS}
         self.on_their_way: list[OnItsWay] = []
+        self.era = 0
         self.publish()
         for number in HOSTS:
             self.store_answers(number)
@@ -131,25 +134,48 @@
         revision = len(self.published) + 1
         name = f"r{revision}".encode()
         self.codec.known[name] = relay_parts.in_force(revision)
-        place = relay_parts.at(len(self.records))
+        place = relay_parts.at(len(self.records), self.era)
         self.records.append(topics.Record("config", name, place))
         self.published.append(Published(revision, self.clock.now))
 
+    @stateful.rule(lost=st.integers(0, 4))
+    def store_comes_back(self, lost: int) -> None:
+        """The store loses its newest records, and numbers go on anew."""
+        self.era += 1
+        kept = max(0, len(self.records) - lost)
+        gone = {each.value for each in self.records[kept:]}
+        self.records = [
+            attrs.evolve(each, place=relay_parts.at(offset, self.era))
+            for offset, each in enumerate(self.records[:kept])
+        ]
+        for each in self.published:
+            is_lost = f"r{each.revision}".encode() in gone
+            if is_lost and each.lost_at == float("inf"):
+                each.lost_at = self.clock.now
+
     @stateful.rule(number=st.sampled_from(HOSTS))
     def store_answers(self, number: int) -> None:
         """A read is sent and answered at once; it arrives when it likes."""
         host = self.hosts[number]
         place = host.operator.place
-        end = relay_parts.at(len(self.records))
-        first = place.offset if place else 0
-        batch = topics.Batch(tuple(self.records[first:]), end, place is None)
+        end = relay_parts.at(len(self.records), self.era)
+        if place is None or place.era != self.era:
+            batch = topics.Batch(
+                tuple(self.records[-1:]), end, is_snapshot=True
+            )
+        else:
+            batch = topics.Batch(tuple(self.records[place.offset :]), end)
         self.on_their_way.append(OnItsWay(host, self.clock.now, batch))
 
     @stateful.rule(number=st.sampled_from(HOSTS[1:]), age=st.floats(0.0, 2.0))
     def host_answers(self, number: int, age: float) -> None:
         """A question that was sent a while ago is answered."""
         host, source = self.hosts[number], self.hosts[number - 1]
-        asked = peer_codec.CopyRequest({"operator": host.operator.place})
+        asked = peer_codec.CopyRequest(
+            {"operator": host.operator.place},
+            era=host.state.history.era,
+            revision=host.state.revision,
+        )
         answer = peer_codec.encode(source.answers.answer(asked))
         sent_at = self.clock.now - age
         self.on_their_way.append(OnItsWay(host, sent_at, answer=answer))
@@ -167,8 +193,11 @@
             return  # That run of the host has ended.
         if found.batch is None:
             answer = peer_codec.decode_answer(found.answer)
+            found.run.state.history.learn(answer.era, "host")
             found.run.reader._take(answer, found.sent_at)
-        elif not found.run.operator.is_ahead_of(found.batch):
+            return
+        found.run.state.history.learn(found.batch.end.era, "store")
+        if not found.run.operator.is_ahead_of(found.batch):
             update = follower.Update(found.batch, found.sent_at, FOREVER)
             found.run.operator.take(update)
 
@@ -185,7 +214,9 @@
             if proved_at is None:
                 continue
             due = [
-                each.revision for each in self.published if each.at < proved_at
+                each.revision
+                for each in self.published
+                if each.at < proved_at < each.lost_at
             ]
             assert host.state.configuration is not None
             known = host.state.configuration.revision
@@ -200,6 +231,21 @@
             assert revision >= host.newest_seen
             host.newest_seen = revision
 
+    def teardown(self) -> None:
+        """Once each has read, all know what the store says."""
+        self.clock.now += 1.0
+        for number in HOSTS:
+            self.store_answers(number)
+            self.arrive(self.on_their_way.pop())
+        for number in HOSTS[1:]:
+            self.host_answers(number, 0.0)
+            self.arrive(self.on_their_way.pop())
+        self.leases_tell_the_truth()
+        self.no_host_goes_back()
+        newest = self.records[-1].value if self.records else None
+        for host in self.hosts.values():
+            assert host.state.revision >= (int(newest[1:]) if newest else -1)
+
 
 PLAYED = settings(
     max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
@@ -207,7 +253,7 @@
 
 # What hypothesis draws changes with the constants of any local module, so a
 # mutant may take many examples. The search ends with the first that shows it.
-SEARCHED = settings(PLAYED, max_examples=5000)
+SEARCHED = settings(PLAYED, max_examples=5000, report_multiple_bugs=False)
 
 
 def test_leases_along_the_tree_tell_the_truth() -> None:
@@ -235,3 +281,32 @@
     monkeypatch.setattr(follower.TopicFollower, "age", lambda self: 0.0)
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(Tree, settings=SEARCHED)
+
+
+def test_a_copy_that_is_judged_by_its_offset_alone_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def is_ahead_of(self: follower.TopicFollower, batch: topics.Batch) -> bool:
+        return self.place is not None and batch.end.offset < self.place.offset
+
+    monkeypatch.setattr(follower.TopicFollower, "is_ahead_of", is_ahead_of)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Tree, settings=SEARCHED)
+
+
+def test_a_host_that_takes_what_an_older_copy_has_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    take = listeners.OperatorListener._take_configuration
+
+    def take_any(
+        self: listeners.OperatorListener, found: Any, record: topics.Record
+    ) -> bool:
+        self._state.configuration = None
+        return take(self, found, record)
+
+    monkeypatch.setattr(
+        listeners.OperatorListener, "_take_configuration", take_any
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Tree, settings=SEARCHED)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,8 @@
 PAUSE = (0.02, 0.2)  # Seconds between two requests of a caller.
 FAULT_PAUSE = (0.3, 2.5)  # Seconds between two faults.
 FAULT_TIME = (0.5, 3.0)  # Seconds that a fault lasts.
+REWIND_AWAY = (0.0, 2.0)  # Seconds until the store comes back from a copy.
+REWIND_AGE = (0.2, 9.0)  # Seconds since that copy was made.
 CALM = 8.0  # Seconds without faults at the end.
 RECOVERED = 6.0  # Seconds of these after which requests must be served.
 DEADLINE_MS = 5000
@@ -43,6 +45,7 @@
 CRASH_PAUSE = (0.5, 4.0)  # Seconds between two tries of what ends servers.
 BACK_AFTER = 0.5  # Seconds until a backend server that ended is started again.
 MOST_CRASHES = 3  # Tries that may reach servers when all is calm.
+NOT_KNOWN = frozenset({401, 403, 404})
 NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -230,6 +233,7 @@
             self._harm_backend_link,
             self._harm_store_link,
             self._harm_store,
+            self._rewind_store,
             self._kill_backend,
         ]
         running: set[asyncio.Task[None]] = set()
@@ -317,6 +321,15 @@
         await self.world.set_store_fault("")
         span.last = time.monotonic() + 1.0
 
+    async def _rewind_store(self) -> None:
+        """The store is away and comes back from an older copy of itself."""
+        span = self._span("all", "store rewind")
+        await self.world.set_store_fault("down")
+        await asyncio.sleep(self._draw.uniform(*REWIND_AWAY))
+        age = self._draw.uniform(*REWIND_AGE)
+        await self.world.set_store_fault("rewind", seconds=f"{age:.3f}")
+        span.last = time.monotonic() + 1.0
+
     async def _kill_backend(self) -> None:
         backend = self._draw.choice(self.world.backends)
         if not self._take(backend.name):
@@ -393,6 +406,8 @@
             "got another answer": whole and call.body != _due(call),
             "ran with a key taken away before": late and runs,
             "was cut by a stop": self._was_cut_by_a_stop(call, runs),
+            "was refused as an older configuration says": call.key == "k1"
+            and call.status in NOT_KNOWN,
             "ran as another account": any(
                 run["tenant"] != "farm" or run["key"] for run in runs
             ),
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -275,10 +275,11 @@
         async with self.session.post(url, params=query, data=value) as reply:
             reply.raise_for_status()
 
-    async def set_store_fault(self, fault: str) -> None:
+    async def set_store_fault(self, fault: str, **words: str) -> None:
         """Has the store misbehave, or behave again."""
         url = f"http://{self.store_address}/admin/fault"
-        async with self.session.post(url, params={"fault": fault}) as reply:
+        query = {"fault": fault, **words}
+        async with self.session.post(url, params=query) as reply:
             reply.raise_for_status()
 
     def runs(self) -> Iterator[dict[str, Any]]:
