Refuse to go on, at entry and steward, on a log that has lost records

By reading, for the class: the product's own interface rests at most once and bills on a log that loses nothing. On one that was rewound a claim would stand at an offset given before, unseen by hosts that had read further: a call could run twice in silence.

The client knows how far a stream went when it sends an append; an answer below it is a LogRewoundError, logged once, and the stream is neither written nor read until a restart. Appends that are answered out of order are none.

test_a_log_that_lost_records_is_not_written_to_in_silence.

--- a/src/hoistmoor/clients/log.py
+++ b/src/hoistmoor/clients/log.py
@@ -10,9 +10,12 @@
 
 from hoistmoor.clients import replies
 from hoistmoor.core import errors
+from hoistmoor.utils import logs
 
 _T = TypeVar("_T")
 
+_LOG = logs.PartLogger("log")
+
 READ_LIMIT = 500  # Records a page.
 
 _NOT_STORED = frozenset({429, 503})  # The log's own word: nothing stored.
@@ -80,8 +83,18 @@
     first: int
 
 
+@attrs.define(eq=False, slots=False)
 class LogClient(replies.ServiceClient):
-    """Appends to and reads from the streams of the log service."""
+    """Appends to and reads from the streams of the log service.
+
+    A log that gives an offset out again has lost records. From then on every
+    call on that stream fails until the process is restarted.
+    """
+
+    _ends: dict[str, int] = attrs.field(factory=dict, init=False)
+    _rewound: dict[str, errors.LogRewoundError] = attrs.field(
+        factory=dict, init=False
+    )
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Appends one record, sent once.
@@ -92,8 +105,12 @@
         Raises:
             LogUnavailableError: Nothing was stored.
             LogOutcomeUnknownError: No reply; the record may be stored.
+            LogRewoundError: The log has lost records of the stream.
             PlatformError: The log refused the record itself.
         """
+        self._check(stream)
+        # Of appends under way at once, a later one may be answered first.
+        known = self._ends.get(stream, 0)
         url = f"{self.base_url}/streams/{stream}/records"
         try:
             async with self.session.post(
@@ -105,7 +122,11 @@
         except replies.TRANSPORT_ERRORS as error:
             raise _append_error(stream, error) from error
         if reply.status == 200:
-            return _stored_offset(stream, body)
+            offset = _stored_offset(stream, body)
+            if offset < known:
+                raise self._note_rewound(stream, known, offset)
+            self._note_end(stream, offset + 1)
+            return offset
         raise _append_refusal(stream, reply.status)
 
     async def read(
@@ -125,8 +146,10 @@
 
         Raises:
             LogOffsetExpiredError: ``start`` is past the retention.
+            LogRewoundError: The log has lost records of the stream.
             LogUnavailableError: No usable answer in time.
         """
+        self._check(stream)
         url = f"{self.base_url}/streams/{stream}/records"
         query = {
             "from": str(start),
@@ -134,7 +157,10 @@
             "wait_ms": str(int(wait * 1000)),
         }
         body = await self._get(stream, url, start, query, self.timeout + wait)
-        return _page(_parse(body, _WirePage, stream), stream)
+        page = _page(_parse(body, _WirePage, stream), stream)
+        if page.records:
+            self._note_end(stream, page.records[-1].offset + 1)
+        return page
 
     async def bounds(self, stream: str) -> LogBounds:
         """Returns the oldest and the next offset of a stream.
@@ -146,6 +172,21 @@
         body = await self._get(stream, url, 0, {}, self.timeout)
         return _parse(body, LogBounds, stream)
 
+    def _check(self, stream: str) -> None:
+        if stream in self._rewound:
+            raise self._rewound[stream]
+
+    def _note_end(self, stream: str, end: int) -> None:
+        self._ends[stream] = max(end, self._ends.get(stream, 0))
+
+    def _note_rewound(
+        self, stream: str, known: int, offset: int
+    ) -> errors.LogRewoundError:
+        error = errors.LogRewoundError(stream, known, offset)
+        self._rewound[stream] = error
+        _LOG.error("%s", error)
+        return error
+
     async def _get(
         self,
         stream: str,
--- a/src/hoistmoor/core/errors.py
+++ b/src/hoistmoor/core/errors.py
@@ -40,6 +40,20 @@
     """An append got no reply: it may or may not have taken effect."""
 
 
+class LogRewoundError(LogOutcomeUnknownError):
+    """The log has lost records that it had acknowledged.
+
+    What rests on them, such as claims on calls that may run once, can no
+    longer be kept to.
+    """
+
+    def __init__(self, stream: str, known: int, now: int) -> None:
+        super().__init__(
+            f"stream {stream} was known up to {known} and gave {now} again",
+            "Find out what was lost, then restart this host.",
+        )
+
+
 class LogHistoryChangedError(PlatformError):
     """The log came back from an older copy: places before it mean nothing."""
 
--- a/tests/clients/test_clients_log.py
+++ b/tests/clients/test_clients_log.py
@@ -205,3 +205,30 @@
     with pytest.raises(errors.PlatformError):
         await client.append("s", b"a")
     assertions.assert_that(backend.requests, matchers.HasLength(1))
+
+
+async def test_a_log_that_lost_records_is_not_written_to_in_silence(
+    rig: Rig,
+) -> None:
+    for payload in (b"a", b"b", b"c"):
+        await rig.client.append("s", payload)
+    del rig.standin.streams["s"].records[1:]
+    with pytest.raises(errors.LogRewoundError):
+        await rig.client.append("s", b"d")
+    stored = rig.stored()
+    # Also once it has grown as long as it was, and whoever calls.
+    for _ in range(3):
+        with pytest.raises(errors.LogRewoundError):
+            await rig.client.append("s", b"e")
+    with pytest.raises(errors.LogRewoundError):
+        await rig.client.read("s", 0)
+    assertions.assert_that(rig.stored(), matchers.Equals(stored))
+    await rig.client.append("other", b"f")
+
+
+async def test_appends_that_are_answered_out_of_order_lose_nothing(
+    rig: Rig,
+) -> None:
+    appends = [rig.client.append("s", b"%d" % each) for each in range(20)]
+    offsets = await asyncio.gather(*appends)
+    assertions.assert_that(sorted(offsets), matchers.Equals(list(range(20))))
