Test returns of the store in a row, beside a cut and restarts

7 real relays under calls all the time: each is answered 200 over two returns. Virtual time at 7, 84, 360 hosts: a return during another one's repair, a third of the hosts cut off from all, restarts between; no host goes back or stops, all are in the newest history within a second of the end.

--- a/tests/relay/peers/test_relay_returned_store_swarm.py
+++ b/tests/relay/peers/test_relay_returned_store_swarm.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import attrs
 import pytest
 import relay_parts
 import relay_swarm
+import swarm_troubles
 from testtools import assertions
 from testtools import matchers
 
@@ -178,3 +180,109 @@
         assertions.assert_that(snapshots, matchers.LessThan(hosts + 10))
 
     relay_swarm.play(monkeypatch, scenario())
+
+
+@attrs.define
+class Watch:
+    """Looks at hosts all the time; notes each that goes back or stops.
+
+    Attributes:
+        broken: What was seen.
+    """
+
+    swarm: relay_swarm.Swarm
+    broken: list[str] = attrs.field(factory=list)
+    _seen: dict[int, int] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Looks until cancelled."""
+        while True:
+            for member in self.swarm.members:
+                self._look(member)
+            await asyncio.sleep(0.02)
+
+    def _look(self, member: relay_swarm.Member) -> None:
+        if member.relay is None:
+            return
+        run = id(member.relay)
+        if member.revision < self._seen.get(run, 0):
+            self.broken.append(f"{member.name} goes back")
+        is_cut_off = member.name in self.swarm.cut_off
+        if run in self._seen and not is_cut_off and not member.is_current:
+            self.broken.append(f"{member.name} stops")
+        if member.is_current:
+            self._seen[run] = member.revision
+
+
+@pytest.mark.parametrize("hosts", SIZES)
+def test_returns_in_a_row_change_nothing_for_callers(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    # The second one comes during the repair of the first, a third of the hosts
+    # miss both, and some hosts start again between.
+    async def scenario() -> None:
+        swarm = await relay_swarm.calm_swarm(hosts)
+        copy = swarm.store.platform.copy()
+        await publish(swarm, 3)
+        await swarm.until(lambda each: each.revision == 3)
+        watch = Watch(swarm)
+        watching = asyncio.create_task(watch.run())
+        swarm_troubles.third_cut_off(swarm)
+        await return_from(swarm, copy, 0.3)
+        swarm_troubles.third_cut_off(swarm)
+        await asyncio.sleep(0.15)
+        await publish(swarm, 4)
+        await return_from(swarm, copy, 0.3)
+        swarm_troubles.third_cut_off(swarm)
+        for member in swarm.members[1::5]:
+            member.stop()
+            member.start()
+        await asyncio.sleep(0.5)
+        swarm.cut_off = frozenset()
+        swarm.store.fault.clear()
+        await asyncio.sleep(1.0)
+        for revision in (5, 6):
+            await obey_within(swarm, revision)
+        watching.cancel()
+        assertions.assert_that(watch.broken, matchers.Equals([]))
+        eras = {
+            each.relay.state.history.era
+            for each in swarm.members
+            if each.relay is not None
+        }
+        assertions.assert_that(eras, matchers.Equals({2}))
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+@pytest.mark.parametrize("hosts", SIZES)
+def test_hosts_that_ask_others_leave_the_older_history_within_a_second(
+    monkeypatch: pytest.MonkeyPatch, hosts: int
+) -> None:
+    async def scenario() -> None:
+        swarm = await relay_swarm.calm_swarm(hosts)
+        copy = swarm.store.platform.copy()
+        await publish(swarm, 3)
+        await swarm.until(lambda each: each.revision == 3)
+        swarm.store.calls.clear()
+        swarm.store.platform.rewind(copy)
+        swarm.store.wake()
+        took = await swarm.until(has_read_the_newest, 5.0)
+        assertions.assert_that(took, matchers.LessThan(1.0))
+        # At most a snapshot for each topic of those who read the store.
+        snapshots = sum(
+            count
+            for (_, call, _), count in swarm.store.calls.items()
+            if call == "newest"
+        )
+        readers = 2 * swarm.readers() + 2
+        assertions.assert_that(snapshots, matchers.LessThan(7 * readers))
+
+    relay_swarm.play(monkeypatch, scenario())
+
+
+def has_read_the_newest(member: relay_swarm.Member) -> bool:
+    """Returns whether a host knows all topics in the newest history."""
+    assert member.relay is not None
+    places = [each.place for each in member.relay.followers.values()]
+    return all(place is not None and place.era == 1 for place in places)
--- a/tests/relay/test_relay_returned_store.py
+++ b/tests/relay/test_relay_returned_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 import relay_cluster
 import relay_parts
@@ -51,3 +53,28 @@
         for number in range(HOSTS):
             answer = await cluster.call(number, b"old key")
             assertions.assert_that(answer.status, matchers.Equals(401))
+
+
+async def test_no_caller_is_refused_while_the_store_comes_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with relay_cluster.open_cluster(monkeypatch, HOSTS, 2) as cluster:
+        copy = cluster.platform.copy()
+        await publish(cluster, 2)
+        await until_revision(cluster, 2)
+        statuses: list[int] = []
+
+        async def call_on(number: int) -> None:
+            while True:
+                answer = await cluster.call(number, b"meanwhile")
+                statuses.append(answer.status)
+
+        calls = [asyncio.create_task(call_on(each)) for each in range(HOSTS)]
+        for revision in (3, 4):
+            cluster.platform.rewind(copy)
+            await publish(cluster, revision)
+            await until_revision(cluster, revision)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        assertions.assert_that(set(statuses), matchers.Equals({200}))
