--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -32,9 +32,9 @@
 from hoistmoor.relay.store import era_watch
 from hoistmoor.relay.store import followers as followers_lib
 from hoistmoor.relay.store import lease_watch
-from hoistmoor.relay.store import listeners
 from hoistmoor.relay.store import quarantine
 from hoistmoor.relay.store import store_gate
+from hoistmoor.relay.versions import rollout_listeners
 from hoistmoor.relay.versions import rollout_task
 from hoistmoor.utils import clocks
 from hoistmoor.utils import signals
@@ -128,7 +128,7 @@
         self._sources = mirror.Sources(settings.host, settings.zone)
         self._gate = store_gate.StoreGate()
         self._heard = followers_lib.OwnListeners(
-            listeners.PhaseListener(self.state),
+            rollout_listeners.PhaseListener(self.state),
             listing_lib.HostListener(self.state, self._sources),
             quarantine.QuarantineListener(self.state),
         )
--- a/src/hoistmoor/relay/store/followers.py
+++ b/src/hoistmoor/relay/store/followers.py
@@ -8,9 +8,11 @@
 
 from hoistmoor.relay.peers import listing
 from hoistmoor.relay.store import follower
-from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import operator_listener
 from hoistmoor.relay.store import ports
 from hoistmoor.relay.store import quarantine
+from hoistmoor.relay.store import server_listener
+from hoistmoor.relay.versions import rollout_listeners
 
 if TYPE_CHECKING:
     from hoistmoor.relay import state as state_lib
@@ -60,7 +62,7 @@
         quarantine: Requests that are refused.
     """
 
-    phases: listeners.PhaseListener
+    phases: rollout_listeners.PhaseListener
     hosts: listing.HostListener
     quarantine: quarantine.QuarantineListener
 
@@ -86,14 +88,14 @@
     readings = {
         "operator": _Reading(
             topics.operator,
-            listeners.OperatorListener(state, codec),
+            operator_listener.OperatorListener(state, codec),
             wait=OPERATOR_WAIT,
             pause=SHORT_PAUSE,
             is_probe=True,
         ),
         "servers": _Reading(
             topics.servers,
-            listeners.ServerListener(state, codec),
+            server_listener.ServerListener(state, codec),
             wait=SERVERS_WAIT,
             pause=SERVERS_PAUSE,
         ),
--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -14,8 +14,8 @@
 from hoistmoor.core.relay.versions import phases as phases_lib
 from hoistmoor.core.relay.versions import progress as progress_lib
 from hoistmoor.relay.store import follower as follower_lib
-from hoistmoor.relay.store import listeners
 from hoistmoor.relay.versions import rollout_codec
+from hoistmoor.relay.versions import rollout_listeners
 
 if TYPE_CHECKING:
     from hoistmoor.relay import state as state_lib
@@ -34,7 +34,7 @@
         topics: ports.Topics,
         codec: ports.Codec,
         phases: follower_lib.TopicFollower,
-        listener: listeners.PhaseListener,
+        listener: rollout_listeners.PhaseListener,
         gate: store_gate.StoreGate,
     ) -> None:
         """Makes the task.
@@ -53,7 +53,7 @@
         self._phases = phases
         self._listener = listener
         self._gate = gate
-        self._heard = listeners.EvidenceListener(state)
+        self._heard = rollout_listeners.EvidenceListener(state)
         self._evidence = follower_lib.TopicFollower(
             state,
             "evidence",
--- a/tests/relay/peers/test_relay_tree_stateful.py
+++ b/tests/relay/peers/test_relay_tree_stateful.py
@@ -29,7 +29,7 @@
 from hoistmoor.relay.peers import peer_codec
 from hoistmoor.relay.peers import reader as reader_lib
 from hoistmoor.relay.store import follower
-from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import operator_listener
 from hoistmoor.relay.store import store_gate
 
 HOSTS = (0, 1, 2)  # Each asks the one before it; the first reads the store.
@@ -75,7 +75,7 @@
             self.state,
             "operator",
             relay_platform.MemoryTopic(),
-            listeners.OperatorListener(self.state, codec),
+            operator_listener.OperatorListener(self.state, codec),
             wait=0.0,
             pause=0.0,
             gate=gate,
@@ -297,16 +297,18 @@
 def test_a_host_that_takes_what_an_older_copy_has_is_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    take = listeners.OperatorListener._take_configuration
+    take = operator_listener.OperatorListener._take_configuration
 
     def take_any(
-        self: listeners.OperatorListener, found: Any, record: topics.Record
+        self: operator_listener.OperatorListener,
+        found: Any,
+        record: topics.Record,
     ) -> bool:
         self._state.configuration = None
         return take(self, found, record)
 
     monkeypatch.setattr(
-        listeners.OperatorListener, "_take_configuration", take_any
+        operator_listener.OperatorListener, "_take_configuration", take_any
     )
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(Tree, settings=SEARCHED)
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -19,7 +19,8 @@
 from hoistmoor.relay import event_log
 from hoistmoor.relay.store import follower
 from hoistmoor.relay.store import lease_watch
-from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import operator_listener
+from hoistmoor.relay.store import server_listener
 from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> follower.TopicFollower:
     """Follows the entries of backend servers."""
-    listener = listeners.ServerListener(rig.state, platform.codec)
+    listener = server_listener.ServerListener(rig.state, platform.codec)
     return follower.TopicFollower(
         rig.state,
         "servers",
@@ -262,7 +263,7 @@
 async def test_an_evacuation_holds_until_it_is_taken_back(
     rig: Rig, platform: relay_platform.MemoryPlatform
 ) -> None:
-    listener = listeners.OperatorListener(rig.state, platform.codec)
+    listener = operator_listener.OperatorListener(rig.state, platform.codec)
     fleet = rig.state.router.fleet
 
     def take(batch: topics.Batch) -> set[str]:
@@ -299,7 +300,7 @@
             raise errors.CodecError("torn", "Look at it.")
 
     codec = TornCodec(platform.codec.known)
-    listener = listeners.OperatorListener(rig.state, codec)
+    listener = operator_listener.OperatorListener(rig.state, codec)
     await platform.operator.put("rollout/a", b"torn")
     await platform.publish(platform.operator, "config", relay_parts.in_force())
     batch = await platform.operator.newest()
@@ -338,7 +339,7 @@
         rig.state,
         "operator",
         topic,
-        listeners.OperatorListener(rig.state, platform.codec),
+        operator_listener.OperatorListener(rig.state, platform.codec),
         wait=1.0,
         pause=0.0,
         gate=store_gate.StoreGate(),
@@ -386,7 +387,7 @@
         rig.state,
         "servers",
         topic,
-        listeners.ServerListener(rig.state, platform.codec),
+        server_listener.ServerListener(rig.state, platform.codec),
         wait=1.0,
         pause=0.0,
         gate=store_gate.StoreGate(),
@@ -438,7 +439,7 @@
         rig.state,
         "operator",
         platform.operator,
-        listeners.OperatorListener(rig.state, platform.codec),
+        operator_listener.OperatorListener(rig.state, platform.codec),
         wait=0.0,
         pause=0.0,
         gate=store_gate.StoreGate(),
--- a/tests/relay/store/test_relay_returned_servers.py
+++ b/tests/relay/store/test_relay_returned_servers.py
@@ -12,7 +12,7 @@
 
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.relay.store import follower
-from hoistmoor.relay.store import listeners
+from hoistmoor.relay.store import server_listener
 from hoistmoor.relay.store import store_gate
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
         rig.state,
         "servers",
         relay_platform.HostTopic(platform.servers, rig.state.history),
-        listeners.ServerListener(rig.state, platform.codec),
+        server_listener.ServerListener(rig.state, platform.codec),
         wait=0.0,
         pause=0.0,
         gate=store_gate.StoreGate(),
