--- a/tests/core/relay/versions/test_relay_returned_orders.py
+++ b/tests/core/relay/versions/test_relay_returned_orders.py
@@ -97,3 +97,20 @@
     assertions.assert_that(
         made.progress["llm"].phase, matchers.Equals(phases.Phase.COMPLETE)
     )
+
+
+def test_sessions_keep_their_draw_under_another_number() -> None:
+    made = rollouts.RolloutBook(5.0)
+    made.take_order(order("v3", 9), NOW)
+    late = NOW + 60.0 * 0.7
+
+    def chosen() -> list[set[str]]:
+        return [
+            made.choose("llm", {"v2", "v3"}, f"s{each}", frozenset(), late)
+            for each in range(50)
+        ]
+
+    before = chosen()
+    made.take_order(order("v3", 7, 2), late)
+    assertions.assert_that(before, matchers.Contains({"v3"}))
+    assertions.assert_that(chosen(), matchers.Equals(before))
