Take an order long after the store's return for a new one

By reading: an order that was lost and never written again made a later one of the same version count as the same, for good. What says the same is the same order only while operators write again what was lost; a copy's order is known by target, time allowed and offset.

test_an_order_of_the_same_version_long_after_the_return_is_a_new_one.

--- a/src/hoistmoor/core/relay/versions/progress.py
+++ b/src/hoistmoor/core/relay/versions/progress.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from hoistmoor.core.relay.beliefs import history
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases
 
@@ -23,8 +22,6 @@
         is_doubted: Whether the counts of some hosts together say that the
             target is bad. Hosts tell one another, so that none has to wait
             for the record of it on the store.
-        returned_at: Steady time at which the order was read in a newer
-            history of the store.
     """
 
     order: phases.Order
@@ -34,24 +31,6 @@
     sent: int = 0
     sent_target: int = 0
     is_doubted: bool = False
-    returned_at: float = float("-inf")
-
-    def is_again(self, order: phases.Order, now: float) -> bool:
-        """Returns whether an order is this one, as it stands in the store now.
-
-        After the store has come back from an older copy, operators write an
-        order again, even if the copy has it.
-        """
-        if not order.says_as(self.order):
-            return False
-        is_held = now - self.returned_at < history.HELD_FOR
-        return is_held or order.place.era > self.order.place.era
-
-    def renumber(self, order: phases.Order, now: float) -> None:
-        """Goes on under the number that the order has now."""
-        if order.place.era > self.order.place.era:
-            self.returned_at = now
-        self.order = order
 
     def take_age(self, age: float, now: float) -> None:
         """Takes another host's word of how long ago the order was seen.
--- a/src/hoistmoor/core/relay/versions/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.beliefs import history
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.relay.versions import progress as progress_lib
@@ -12,6 +13,13 @@
 TRIAL_SHARE = 0.1  # Part of a service's requests that a trial gets, at most.
 SLOW_PACE = 3.5  # Times the usual duration that make an answer slow.
 
+_OrderName = tuple[str, float, int]
+
+
+def _name_of(order: phases.Order) -> _OrderName:
+    """Returns what an order is known by in any copy that has it."""
+    return order.target, order.duration, order.place.offset
+
 
 class RolloutBook:
     """All roll-outs that this host knows.
@@ -32,8 +40,16 @@
         self.progress: dict[str, progress_lib.Progress] = {}
         self.withdrawn: dict[str, set[str]] = {}
         self._phases: dict[tuple[str, str], phases.PhaseRecord] = {}
-        # Targets and offsets of all orders that were ever taken, by service.
-        self._taken: dict[str, set[tuple[str, int]]] = {}
+        # All orders that were ever taken, by service; their eras do not count.
+        self._taken: dict[str, set[_OrderName]] = {}
+        self._returned_at = float("-inf")
+
+    def note_return(self, now: float) -> None:
+        """Notes that the store has come back from an older copy.
+
+        Operators write again what it has lost, even if the copy has it.
+        """
+        self._returned_at = now
 
     def take_order(self, order: phases.Order, now: float) -> bool:
         """Takes an order; returns whether it is news.
@@ -45,14 +61,14 @@
         if known is not None:
             if known.order.number >= order.number:
                 return False
-            if known.is_again(order, now):
-                self._renumber(known, order, now)
+            is_held = now - self._returned_at < history.HELD_FOR
+            if is_held and order.says_as(known.order):
+                self._renumber(known, order)
                 return False
             if self._was_taken(known, order):
                 return False
-        self._taken.setdefault(order.service, set()).add(
-            (order.target, order.place.offset)
-        )
+        taken = self._taken.setdefault(order.service, set())
+        taken.add(_name_of(order))
         self.progress[order.service] = progress_lib.Progress(order, now)
         record = self._phases.get((order.service, order.target))
         if record is not None:
@@ -60,22 +76,22 @@
         return True
 
     def _renumber(
-        self, known: progress_lib.Progress, order: phases.Order, now: float
+        self, known: progress_lib.Progress, order: phases.Order
     ) -> None:
         """Has a roll-out go on under the number that its order has now."""
         key = (order.service, order.target)
         record = self._phases.get(key)
         if record is not None and record.is_of(known.order):
             self._phases[key] = attrs.evolve(record, number=order.number)
-        known.renumber(order, now)
+        known.order = order
 
     def _was_taken(
         self, known: progress_lib.Progress, order: phases.Order
     ) -> bool:
         """Returns whether an order of an older copy was replaced since."""
         is_returned = order.place.era > known.order.place.era
-        name = (order.target, order.place.offset)
-        return is_returned and name in self._taken.get(order.service, ())
+        taken = self._taken.get(order.service, set())
+        return is_returned and _name_of(order) in taken
 
     def take_phase(self, record: phases.PhaseRecord) -> bool:
         """Takes a phase from the store; returns whether it is news."""
--- a/src/hoistmoor/relay/store/operator_listener.py
+++ b/src/hoistmoor/relay/store/operator_listener.py
@@ -22,6 +22,7 @@
         self._state = state
         self._codec = codec
         self._evacuations = evacuations.Evacuations()
+        self._end: topics.Place | None = None
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; each proves the configuration current.
@@ -29,6 +30,10 @@
         Others should have no older configuration than this host, and its own
         where a snapshot has an older one.
         """
+        end = update.batch.end
+        if self._end is not None and end.era > self._end.era:
+            self._state.router.rollouts.note_return(self._state.clock())
+        self._end = end
         kept = [each for each in update.batch.records if self._takes(each)]
         self._take_evacuations(update.batch)
         held = self._state.configuration_record
--- a/tests/core/relay/versions/test_relay_returned_orders.py
+++ b/tests/core/relay/versions/test_relay_returned_orders.py
@@ -40,6 +40,7 @@
     book: rollouts.RolloutBook,
 ) -> None:
     before = book.progress["llm"]
+    book.note_return(NOW + 2.0)
     # The copy has the order before, which was replaced.
     is_news = book.take_order(order("v2", 4, 2), NOW + 2.0)
     assertions.assert_that(is_news, matchers.Is(False))
@@ -59,6 +60,7 @@
     book: rollouts.RolloutBook,
 ) -> None:
     before = book.progress["llm"]
+    book.note_return(NOW + 2.0)
     for offset in (9, 11):
         book.take_order(order("v3", offset, 2), NOW + 2.0)
     assertions.assert_that(book.progress["llm"], matchers.Is(before))
@@ -71,6 +73,7 @@
 def test_a_new_order_after_the_return_is_taken(
     book: rollouts.RolloutBook,
 ) -> None:
+    book.note_return(NOW + 2.0)
     is_news = book.take_order(order("v4", 2, 2), NOW + 2.0)
     assertions.assert_that(is_news, matchers.Is(True))
     found = book.progress["llm"]
@@ -81,6 +84,7 @@
     book: rollouts.RolloutBook,
 ) -> None:
     book.take_phase(phase("v3", 9, 1, "reverted"))
+    book.note_return(NOW + 2.0)
     book.take_order(order("v3", 9, 2), NOW + 2.0)
     is_news = book.take_phase(phase("v3", 9, 1, "spread"))
     assertions.assert_that(is_news, matchers.Is(False))
@@ -111,6 +115,21 @@
         ]
 
     before = chosen()
+    made.note_return(late)
     made.take_order(order("v3", 7, 2), late)
     assertions.assert_that(before, matchers.Contains({"v3"}))
     assertions.assert_that(chosen(), matchers.Equals(before))
+
+
+def test_an_order_of_the_same_version_long_after_the_return_is_a_new_one(
+    book: rollouts.RolloutBook,
+) -> None:
+    # The one before was lost and never written again.
+    book.take_phase(phase("v3", 9, 1, "reverted"))
+    book.note_return(NOW + 2.0)
+    later = NOW + 3.0 + history.HELD_FOR
+    is_news = book.take_order(order("v3", 7, 2), later)
+    assertions.assert_that(is_news, matchers.Is(True))
+    assertions.assert_that(
+        book.progress["llm"].phase, matchers.Equals(phases.Phase.TRIAL)
+    )
