Have the soak's proxy close what a target's end has cut

Seen in the soaks' output: AttributeError in _refuse_while_away, where two connections to a target that had ended looked whether it was back; the second one was left open towards the relay instead of cut. The look comes first now. Only the soak's own; no check changes.

--- a/tests/soak/soak_proxy.py
+++ b/tests/soak/soak_proxy.py
@@ -106,7 +106,8 @@
 
     async def _refuse_while_away(self) -> None:
         """Takes no connections while the target takes none, as it would."""
-        if self._server is None or await self._is_target_up():
+        is_up = await self._is_target_up()
+        if self._server is None or is_up:  # Another connection may have been.
             return
         self._server.close()
         self._server = None
