--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -118,14 +118,17 @@
     def is_returned(self, entry: server_lib.ServerEntry) -> bool:
         """Returns whether an older copy of the store brought an entry back.
 
-        The server has left since, or has said more.
+        The server has left since, or has said more. Of one start the lower
+        number, or the same one, tells nothing new; a server that lives writes a
+        higher one with its next heartbeat.
         """
-        known = self.servers.get(entry.server_id)
-        if known is not None:
-            is_same = entry == known.entry
-            return not is_same and entry.is_returned(known.entry)
-        removed = self._removed.get(entry.server_id)
-        return removed is not None and entry.is_returned(removed.entry)
+        listed = self.servers.get(entry.server_id)
+        if listed is not None and listed.entry == entry:
+            return False
+        newest = listed or self._removed.get(entry.server_id)
+        if newest is None or not _is_same_server(newest.entry, entry):
+            return False
+        return entry.sequence <= newest.entry.sequence
 
     def put(self, entry: server_lib.ServerEntry, now: float = 0.0) -> bool:
         """Takes an entry; returns whether it changes what to do.
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -70,19 +70,6 @@
             return False
         return self.born > int(born)
 
-    def is_returned(self, known: ServerEntry) -> bool:
-        """Returns whether an older copy of the store may have brought it back.
-
-        Of one start the lower number, or the same one, tells nothing new; a
-        server that lives writes a higher one with its next heartbeat.
-        """
-        same = (self.identity, self.service, self.address) == (
-            known.identity,
-            known.service,
-            known.address,
-        )
-        return same and self.sequence <= known.sequence
-
     def is_older_than(self, other: ServerEntry) -> bool:
         """Returns whether the server wrote it before another entry.
 
