Start the mutants of a withdrawal without ratings

Cause: the platform rates answers unless it is told not to, and ratings move the threshold at which a cascade keeps a cheap answer (from 4 to 2 or 3 here). Once they had come before the twelve requests, all cheap answers were kept, so that nothing was sent to the withdrawn version. The test of the same case without the mutant starts without ratings; this one did not.

Ruled out: answers that come before the host is frozen (it was frozen before the first came in each run looked at), and the edit overtaking them.

--- a/tests/system/test_system_faults.py
+++ b/tests/system/test_system_faults.py
@@ -463,7 +463,8 @@
 ) -> None:
     broken = str(pathlib.Path(__file__).parent / "broken_entry.py")
     deployment.entry_words = (sys.executable, broken, mutation)
-    hosts = await deployment.start(hosts=3)
+    # Ratings would move the threshold at which an answer is good enough.
+    hosts = await deployment.start(hosts=3, platform=("--rating-share", "0"))
     await scenario(deployment, hosts)
     found = {violation.promise for violation in await deployment.violations()}
     assertions.assert_that(found, matchers.Contains(promise))
