Tell a return of the store to listeners in one place

Four listeners each kept the era of their last batch to see that a batch is the first of a newer history. The follower, which hands the batches on, tells it now (Update.is_return); evacuations hold what is lost in a function of their own, and a listener drops entries that an older copy brought back before it takes the rest.

Behaviour stays.

--- a/src/hoistmoor/core/relay/beliefs/evacuations.py
+++ b/src/hoistmoor/core/relay/beliefs/evacuations.py
@@ -49,33 +49,33 @@
         # What was known before that history, against what it says.
         self._held: dict[str, bool] = {}
         self._held_until = float("-inf")
-        self._end: topics.Place | None = None
         # Offset of the newest record by which each was evacuated.
         self._offsets: dict[str, int] = {}
 
     def take(
         self,
         words: Iterable[ZoneWord],
-        end: topics.Place,
         now: float,
         *,
         is_snapshot: bool,
+        is_return: bool = False,
     ) -> bool:
         """Takes what was read; returns whether the failure domains change.
 
         Args:
             words: What the records say, in order.
-            end: Where to read on.
             now: Steady time.
             is_snapshot: Whether what is not in it was taken back.
+            is_return: Whether it is the snapshot of a newer history.
         """
         words = tuple(words)
+        if is_return:
+            self._hold(words, now)
         if is_snapshot:
-            self._take_snapshot(words, end, now)
+            self._take_snapshot(words)
         else:
             for word in words:
                 self._take_word(word)
-        self._end = end
         if now >= self._held_until:
             self._held.clear()
         added = {zone for zone, is_it in self._held.items() if is_it}
@@ -92,22 +92,21 @@
         else:
             self._listed.discard(word.zone)
 
-    def _take_snapshot(
-        self, words: tuple[ZoneWord, ...], end: topics.Place, now: float
-    ) -> None:
-        listed = {word.zone for word in words}
-        if self._end is not None and end.era > self._end.era:
-            lost = self.zones - listed
-            returned = {
-                word.zone
-                for word in words
-                if word.zone not in self.zones
-                and self._offsets.get(word.zone) == word.place.offset
-            }
-            self._held = dict.fromkeys(lost, True)
-            self._held |= dict.fromkeys(returned, False)
-            self._held_until = now + history_lib.HELD_FOR
-        self._listed = listed
+    def _hold(self, words: tuple[ZoneWord, ...], now: float) -> None:
+        """Keeps for some time what a newer history takes back."""
+        lost = self.zones - {word.zone for word in words}
+        returned = {
+            word.zone
+            for word in words
+            if word.zone not in self.zones
+            and self._offsets.get(word.zone) == word.place.offset
+        }
+        self._held = dict.fromkeys(lost, True)
+        self._held |= dict.fromkeys(returned, False)
+        self._held_until = now + history_lib.HELD_FOR
+
+    def _take_snapshot(self, words: tuple[ZoneWord, ...]) -> None:
+        self._listed = {word.zone for word in words}
         for word in words:
             if self._held.get(word.zone) is not False:
                 self._offsets[word.zone] = word.place.offset
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -28,11 +28,14 @@
             vain, the end of the wait that was asked for.
         after_outage: Seconds since the store was heard again; infinite if it
             has not been away.
+        is_return: Whether it is the first of a newer history of the store,
+            for a listener that has heard of an older one.
     """
 
     batch: topics.Batch
     current_at: float
     after_outage: float
+    is_return: bool = False
 
 
 class Listener(Protocol):
@@ -255,7 +258,9 @@
             self._regained_at, self._state.clock() - update.after_outage
         )
         self.place = batch.end
-        kept = self._listener(update)
+        known = self.mirror.end
+        is_return = known is not None and batch.end.era > known.era
+        kept = self._listener(attrs.evolve(update, is_return=is_return))
         self.mirror.take(attrs.evolve(batch, records=kept))
         self._state.topics_read.add(self.name)
         self.known.set()
--- a/src/hoistmoor/relay/store/operator_listener.py
+++ b/src/hoistmoor/relay/store/operator_listener.py
@@ -22,7 +22,6 @@
         self._state = state
         self._codec = codec
         self._evacuations = evacuations.Evacuations()
-        self._end: topics.Place | None = None
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; each proves the configuration current.
@@ -30,12 +29,10 @@
         Others should have no older configuration than this host, and its own
         where a snapshot has an older one.
         """
-        end = update.batch.end
-        if self._end is not None and end.era > self._end.era:
+        if update.is_return:
             self._state.router.rollouts.note_return(self._state.clock())
-        self._end = end
         kept = [each for each in update.batch.records if self._takes(each)]
-        self._take_evacuations(update.batch)
+        self._take_evacuations(update)
         held = self._state.configuration_record
         if update.batch.is_snapshot and held is not None and held not in kept:
             self._state.believe(
@@ -55,8 +52,9 @@
             self._state.note_unreadable("operator", record, error)
             return True
 
-    def _take_evacuations(self, batch: topics.Batch) -> None:
-        """Takes which failure domains are evacuated after a batch."""
+    def _take_evacuations(self, update: follower.Update) -> None:
+        """Takes which failure domains are evacuated after an update."""
+        batch = update.batch
         now = self._state.clock()
         words = [
             evacuations.ZoneWord(zone, record.value is not None, record.place)
@@ -64,7 +62,10 @@
             if (zone := self._codec.evacuated_zone(record)) is not None
         ]
         if not self._evacuations.take(
-            words, batch.end, now, is_snapshot=batch.is_snapshot
+            words,
+            now,
+            is_snapshot=batch.is_snapshot,
+            is_return=update.is_return,
         ):
             return
         zones = self._evacuations.zones
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -37,7 +37,6 @@
 
     def __init__(self, state: state_lib.RelayState) -> None:
         self.listed: set[str] = set()
-        self._end: topics.Place | None = None
         # Fingerprints whose quarantine is over; an older copy may list them.
         self._over: collections.deque[str] = collections.deque(maxlen=KEPT_OVER)
         self._state = state
@@ -45,8 +44,7 @@
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update."""
         batch = update.batch
-        is_new_history = self._end is not None and batch.end.era > self._end.era
-        if is_new_history:
+        if update.is_return:
             self._list_again(batch)
         elif batch.is_snapshot:
             for fingerprint in self.listed - {
@@ -56,11 +54,10 @@
         for record in batch.records:
             if record.value is None:
                 self._drop(record.key)
-            elif is_new_history and self._is_over(record.key):
+            elif update.is_return and self._is_over(record.key):
                 continue
             else:
                 self._take(record, record.value)
-        self._end = batch.end
         return batch.records
 
     def _is_over(self, fingerprint: str) -> bool:
--- a/src/hoistmoor/relay/store/server_listener.py
+++ b/src/hoistmoor/relay/store/server_listener.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
-from hoistmoor.core.relay.beliefs import history as history_lib
 from hoistmoor.core.relay.servers import fleet as fleet_lib
 from hoistmoor.core.relay.servers import server as server_lib
 
@@ -28,8 +27,6 @@
         # there is news to others, who may have that record from here.
         self._silent: dict[str, topics.Place] = {}
         self._tells_starts = False  # Whether servers tell when they started.
-        self._era = history_lib.UNNAMED
-        self._returned: set[str] = set()  # Whose entries tell nothing new.
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Takes one update; a mere heartbeat is no news to others."""
@@ -38,9 +35,10 @@
         # A server that lives is listed again by then. It is counted from the
         # store's return: an entry that goes later was taken away for good.
         doubt_ends = now - update.after_outage + fleet_lib.LAPSE_GRACE
-        news = [
-            record for record in batch.records if self._take(record, doubt_ends)
-        ]
+        records = batch.records
+        if update.is_return:
+            records = self._drop_returned(batch)
+        news = [record for record in records if self._take(record, doubt_ends)]
         if batch.is_snapshot:
             self._remove_unlisted(batch, doubt_ends)
             news = [
@@ -48,22 +46,36 @@
                 for record in batch.records
                 if record.key not in self._silent
             ]
-        self._note_returned(batch)
         for server_id in self._fleet.drop_lapsed(now):
             self._state.believe("server_gone", server=server_id, why="lapsed")
         return tuple(news)
 
-    def _note_returned(self, batch: topics.Batch) -> None:
-        """Logs which servers a newer history has as they were before."""
-        self._era = batch.end.era
-        if self._returned:
+    def _drop_returned(self, batch: topics.Batch) -> tuple[topics.Record, ...]:
+        """Returns the records but for those an older copy brought back."""
+        returned = {
+            record.key: record.place
+            for record in batch.records
+            if self._is_returned(record)
+        }
+        if returned:
             self._state.believe(
                 "servers_returned",
-                servers=sorted(self._returned)[:MOST_NAMED],
-                count=len(self._returned),
+                servers=sorted(returned)[:MOST_NAMED],
+                count=len(returned),
                 place=batch.end.text,
             )
-        self._returned = set()
+        self._silent |= returned
+        return tuple(
+            record for record in batch.records if record.key not in returned
+        )
+
+    def _is_returned(self, record: topics.Record) -> bool:
+        if record.value is None:
+            return False
+        try:
+            return self._fleet.is_returned(self._read(record))
+        except errors.CodecError:
+            return False  # Logged where it is taken.
 
     def _take(self, record: topics.Record, doubt_ends: float) -> bool:
         """Returns whether the record says something new."""
@@ -88,11 +100,6 @@
             self._silent[record.key] = record.place
             return False
         was_silent = self._silent.pop(record.key, None) is not None
-        is_snapshot_of_newer = record.place.era > self._era
-        if is_snapshot_of_newer and self._fleet.is_returned(entry):
-            self._returned.add(record.key)
-            self._silent[record.key] = record.place
-            return False
         before = self._fleet.servers.get(entry.server_id)
         if not self._fleet.put(entry, self._state.clock()):
             return was_silent
--- a/tests/core/relay/beliefs/test_relay_evacuations.py
+++ b/tests/core/relay/beliefs/test_relay_evacuations.py
@@ -24,13 +24,13 @@
 def known() -> evacuations.Evacuations:
     """One failure domain is evacuated; another one was, and is not now."""
     made = evacuations.Evacuations()
-    made.take((), relay_parts.at(3, 1), NOW, is_snapshot=True)
+    made.take((), NOW, is_snapshot=True)
     words = [
         word("ended", 3),
         word("held", 4),
         word("ended", 5, is_evacuated=False),
     ]
-    made.take(words, relay_parts.at(6, 1), NOW, is_snapshot=False)
+    made.take(words, NOW, is_snapshot=False)
     return made
 
 
@@ -38,7 +38,7 @@
     known: evacuations.Evacuations, *words: evacuations.ZoneWord
 ) -> set[str]:
     """Returns what is evacuated after a snapshot of a newer history."""
-    known.take(words, relay_parts.at(4, 2), NOW, is_snapshot=True)
+    known.take(words, NOW, is_snapshot=True, is_return=True)
     return set(known.zones)
 
 
@@ -47,8 +47,7 @@
     seconds: float,
     *words: evacuations.ZoneWord,
 ) -> set[str]:
-    end = relay_parts.at(5, 2)
-    known.take(words, end, NOW + seconds, is_snapshot=False)
+    known.take(words, NOW + seconds, is_snapshot=False)
     return set(known.zones)
 
 
@@ -98,5 +97,5 @@
 def test_what_a_snapshot_of_the_same_history_lacks_was_taken_back(
     known: evacuations.Evacuations,
 ) -> None:
-    known.take((), relay_parts.at(9, 1), NOW, is_snapshot=True)
+    known.take((), NOW, is_snapshot=True)
     assertions.assert_that(known.zones, matchers.Equals(frozenset()))
