Compare places as tuples

Cause: hosts compare the place of each record that they may pass on, some 25,000 comparisons a second at 84 hosts, and an ordered attrs class builds two tuples for each comparison through generators (4.3 us; a tuple 0.09 us). The wire form was built by attrs.astuple, too.

Places are ordered, equal and written as before. 279 tests of beliefs, the platform, the store, peers and returns passed.

--- a/src/hoistmoor/core/relay/beliefs/topics.py
+++ b/src/hoistmoor/core/relay/beliefs/topics.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import attrs
 
 OFFSET_BITS = 40  # Of a serial; a topic has fewer records.
 
 
-@attrs.frozen(order=True)
-class Place:
+# A tuple: places of all records that hosts pass on are compared.
+class Place(NamedTuple):
     """A place in one history of a topic.
 
     An offset means nothing without its era: a store that came back from an
--- a/src/hoistmoor/relay/records.py
+++ b/src/hoistmoor/relay/records.py
@@ -56,7 +56,7 @@
     made.register_structure_hook(outstanding.ServerWork, _read_work)
     made.register_unstructure_hook(limits.LimitWord, attrs.astuple)
     made.register_structure_hook(limits.LimitWord, _read_limit)
-    made.register_unstructure_hook(topics.Place, attrs.astuple)
+    made.register_unstructure_hook(topics.Place, tuple)
     made.register_structure_hook(topics.Place, _read_place)
     made.register_unstructure_hook(bytes, _pack)
     made.register_structure_hook(bytes, _unpack)
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -259,8 +259,9 @@
         )
         self.place = batch.end
         known = self.mirror.end
-        is_return = known is not None and batch.end.era > known.era
-        kept = self._listener(attrs.evolve(update, is_return=is_return))
+        if known is not None and batch.end.era > known.era:
+            update = attrs.evolve(update, is_return=True)
+        kept = self._listener(update)
         self.mirror.take(attrs.evolve(batch, records=kept))
         self._state.topics_read.add(self.name)
         self.known.set()
