Test an evacuation that the store has lost through the follower

The rule was tested in core alone, and the listener with what operators write. Without the follower's word that a batch is the first of a newer history the test fails.

--- /dev/null
+++ b/tests/relay/store/test_relay_returned_operators.py
@@ -0,0 +1,51 @@
+"""What a host believes of operators when the store comes back from a copy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import relay_platform
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.beliefs import history
+from hoistmoor.relay.store import follower
+from hoistmoor.relay.store import operator_listener
+from hoistmoor.relay.store import store_gate
+
+if TYPE_CHECKING:
+    from conftest import Rig
+
+
+async def test_an_evacuation_that_the_store_has_lost_goes_on(
+    rig: Rig, platform: relay_platform.MemoryPlatform
+) -> None:
+    operator = follower.TopicFollower(
+        rig.state,
+        "operator",
+        relay_platform.HostTopic(platform.operator, rig.state.history),
+        operator_listener.OperatorListener(rig.state, platform.codec),
+        wait=0.0,
+        pause=0.0,
+        gate=store_gate.StoreGate(),
+    )
+
+    async def evacuated() -> set[str]:
+        await operator.read_once()
+        return set(rig.state.router.fleet.evacuated)
+
+    copy = platform.copy()
+    await platform.operator.put("empty-north", b"{}")
+    await platform.operator.put("empty-south", b"{}")
+    assertions.assert_that(
+        await evacuated(), matchers.Equals({"north", "south"})
+    )
+    platform.rewind(copy)
+    rig.state.history.learn(platform.operator.era, "h2")
+    assertions.assert_that(
+        await evacuated(), matchers.Equals({"north", "south"})
+    )
+    # What is not written again was taken back.
+    await platform.operator.put("empty-south", b"{}")
+    rig.clock.now += history.HELD_FOR
+    assertions.assert_that(await evacuated(), matchers.Equals({"south"}))
