Keep a replaced version out of the next roll-out

Cause: an order makes a roll-out the service's newest one, and with the one before it goes the knowledge that its target was complete. While the servers of the replaced version were still listed, requests outside the new trial were spread over it and its successor.

The test failed before in all four cases: with and without a session, in a trial and after a return.

The book keeps each service's newest complete roll-out; whatever does not go to the version on trial goes to the one that is complete, and to others only where that one has no servers. A target that was only spread is not held to: its own judgement had not ended.

--- a/src/hoistmoor/core/relay/versions/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -40,6 +40,8 @@
         self.progress: dict[str, progress_lib.Progress] = {}
         self.withdrawn: dict[str, set[str]] = {}
         self._phases: dict[tuple[str, str], phases.PhaseRecord] = {}
+        # Newest roll-out that is complete, by service.
+        self._complete: dict[str, phases.PhaseRecord] = {}
         # All orders that were ever taken, by service; their eras do not count.
         self._taken: dict[str, set[_OrderName]] = {}
         self._returned_at = float("-inf")
@@ -101,6 +103,7 @@
             return False
         self._phases[key] = record
         self._note_withdrawn(record)
+        self._note_complete(record)
         progress = self.progress.get(record.service)
         if progress is not None and record.is_of(progress.order):
             progress.phase = record.phase
@@ -156,6 +159,23 @@
         else:
             withdrawn.discard(record.target)
 
+    def _note_complete(self, record: phases.PhaseRecord) -> None:
+        known = self._complete.get(record.service)
+        is_newest = known is None or record.number >= known.number
+        if record.phase is phases.Phase.COMPLETE and is_newest:
+            self._complete[record.service] = record
+
+    def _settled(self, service: str, versions: set[str]) -> set[str]:
+        """Returns the version that the last complete roll-out has left.
+
+        Servers of older ones may be listed for some time. Where it has none,
+        all versions are returned.
+        """
+        complete = self._complete.get(service)
+        if complete is None:
+            return versions
+        return versions & {complete.target} or versions
+
     def choose(
         self,
         service: str,
@@ -180,17 +200,18 @@
         if progress is None:
             return open_to
         target = {progress.order.target}
+        others = self._settled(service, open_to - target)
         if progress.phase is phases.Phase.REVERTED:
-            return open_to - target
+            return others
         if progress.phase is phases.Phase.SPREAD and progress.is_stopped():
-            return open_to - target or open_to
+            return others or open_to
         if progress.phase is phases.Phase.TRIAL:
             has_failed = progress.order.target in failed
             if not has_failed and self._joins_trial(
                 progress, versions, session, now
             ):
                 return target
-            return open_to - target
+            return others
         return target & versions or open_to
 
     def _joins_trial(
--- a/tests/core/relay/versions/test_relay_rollouts.py
+++ b/tests/core/relay/versions/test_relay_rollouts.py
@@ -177,6 +177,23 @@
     assertions.assert_that(chosen, matchers.Equals({"v1"}))
 
 
+@pytest.mark.parametrize("phase", [Phase.TRIAL, Phase.REVERTED])
+@pytest.mark.parametrize("session", ["", "s"])
+def test_the_version_before_a_complete_one_stays_out_of_the_next_roll_out(
+    book: rollouts.RolloutBook, phase: Phase, session: str
+) -> None:
+    # Its servers may still be listed, and sessions have left it.
+    book.take_phase(record(Phase.COMPLETE))
+    book.note_sent("llm", "v2", session, 18.0)
+    book.take_order(phases.Order("llm", "v3", 20.0, 9), 18.2)
+    book.take_phase(phases.PhaseRecord("llm", "v3", 9, phase))
+    chosen = book.choose("llm", {"v1", "v2", "v3"}, session, NONE, 18.3)
+    assertions.assert_that(chosen, matchers.Equals({"v2"}))
+    # Where it has no servers any more, the older ones are better than none.
+    chosen = book.choose("llm", {"v1", "v3"}, session, NONE, 18.5)
+    assertions.assert_that(chosen, matchers.Equals({"v1"}))
+
+
 def test_an_older_order_changes_nothing(book: rollouts.RolloutBook) -> None:
     older = phases.Order("llm", "v9", 20.0, 3)
     assertions.assert_that(book.take_order(older, 1.0), matchers.Is(False))
