Judge a source of the same history by its own age

A host that had read further than its source took its own age for the age of what the source has. That was meant for a source that has not read the store's newest history yet, as the function says; within one history it made hosts keep to a source that the store turns away.

Tests with the change: 26 of returns (7, 84, 360 hosts, real relays), 22 of the tree and of swarms up to 84 hosts passed.

--- a/src/hoistmoor/relay/peers/reader.py
+++ b/src/hoistmoor/relay/peers/reader.py
@@ -292,7 +292,7 @@
         nothing, and is no worse a source until what is known here is old.
         """
         copy = answer.topics.get(name)
-        if copy and self._followers[name].is_ahead_of(copy.batch):
+        if copy and copy.batch.end.era < self._state.history.era:
             return self._followers[name].age()
         return answer.age_of(name) + self._state.clock() - sent_at
 
