Show that callers of a partitioned host are refused

What callers saw: hosts that lost all links to the backend servers refused every request with 503, while the hosts beside them served all of theirs.

Five real relays over loopback; two lose their links to all servers in each of three ways: connections hang, are reset, or live on while new ones are refused. The proxy of the soak moves to tests/ and learns these cuts.

--- a/tests/soak/soak_proxy.py
+++ b/tests/link_proxy.py
@@ -19,6 +19,10 @@
     "reset",
 )
 FAULTS = (_DELAYED, _SILENT, _ONE_WAY, _RESET)
+# Ways in which a link is cut: all connections hang; open ones are reset and new
+# ones refused; or open ones live on and new ones are refused.
+CUTS = (HANG, RESET, REFUSE) = ("hang", "reset", "refuse")
+_BACKLOG_FILLERS = 4  # Connections that fill the backlog of a listener.
 
 
 @attrs.define(eq=False)
@@ -29,12 +33,17 @@
         target: ``ip:port`` that connections are forwarded to.
         listen: ``ip:port`` of the proxy; empty until it listens.
         fault: Active fault, one of ``FAULTS``; empty for none.
+        cut: How the link is cut, one of ``CUTS``; empty if it is not.
+        connections: Number of connections that are being forwarded.
     """
 
     target: str
     listen: str = ""
     fault: str = _NO_FAULT
+    cut: str = ""
+    connections: int = 0
     _server: asyncio.Server | None = None
+    _blockers: list[socket.socket] = attrs.field(factory=list)
     _reopening: asyncio.Task[None] | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -54,12 +63,41 @@
             for writer in tuple(self._writers):
                 _reset(writer)
 
-    def close(self) -> None:
-        """Stops listening and aborts all connections."""
+    def cut_off(self, how: str) -> None:
+        """Cuts the link, one of ``CUTS``, until it is healed."""
+        self.cut = how
+        self._stop_listening()
+        if how == HANG:
+            self.fault = _SILENT
+            self._blockers = _open_full_listener(self.listen)
+        elif how == RESET:
+            self.inject_fault(_RESET)
+
+    async def heal(self) -> None:
+        """Restores a link that was cut; bytes that were held back arrive."""
+        self.cut = ""
+        self.fault = _NO_FAULT
+        for blocker in self._blockers:
+            blocker.close()
+        self._blockers.clear()
+        if await self._is_target_up():
+            await self._listen_again()
+        else:
+            self._reopening = asyncio.create_task(self._reopen_with_target())
+
+    def _stop_listening(self) -> None:
         if self._reopening is not None:
             self._reopening.cancel()
         if self._server is not None:
             self._server.close()
+        self._server = None
+
+    def close(self) -> None:
+        """Stops listening and aborts all connections."""
+        self.fault = _NO_FAULT
+        self._stop_listening()
+        for blocker in self._blockers:
+            blocker.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
@@ -75,12 +113,14 @@
             _reset(writer)
             return
         self._writers |= {writer, target_writer}
+        self.connections += 1
         try:
             await asyncio.gather(
                 self._forward(reader, target_writer, is_response=False),
                 self._forward(target_reader, writer, is_response=True),
             )
         finally:
+            self.connections -= 1
             self._writers -= {writer, target_writer}
             writer.close()
             target_writer.close()
@@ -120,6 +160,9 @@
     async def _reopen_with_target(self) -> None:
         while not await self._is_target_up():
             await asyncio.sleep(0.05)
+        await self._listen_again()
+
+    async def _listen_again(self) -> None:
         ip, _, port = self.listen.rpartition(":")
         self._server = await asyncio.start_server(self._serve, ip, int(port))
 
@@ -139,6 +182,22 @@
             await asyncio.sleep(0.05)
 
 
+def _open_full_listener(address: str) -> list[socket.socket]:
+    """Opens a listener that drops the packets which open connections."""
+    ip, _, port = address.rpartition(":")
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, int(port)))
+    listener.listen(0)
+    opened = [listener]
+    for _ in range(_BACKLOG_FILLERS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex((ip, int(port)))
+        opened.append(filler)
+    return opened
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     connection = writer.get_extra_info("socket")
     with contextlib.suppress(OSError, AttributeError):
--- /dev/null
+++ b/tests/relay/test_relay_partitioned_host.py
@@ -0,0 +1,53 @@
+"""Hosts that lose their links to the backend servers while others keep theirs.
+
+Guards against a host that takes the failure of its own links for the end of the
+servers. In an observed failure, three of seven hosts lost all links. They
+served 0 of 82 requests, and their reports of ended servers made the other hosts
+refuse all requests for four seconds.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import link_proxy
+import partitioned_cluster
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+if TYPE_CHECKING:
+    import pytest as pytest_lib
+
+HOSTS = 5
+CUT = (0, 1)
+SOUND = (2, 3, 4)
+SETTLING_ROUNDS = 4  # Rounds of requests in which a cut may go unnoticed.
+ROUNDS = 4
+
+
+def assert_all_served(calls: list[partitioned_cluster.Call]) -> None:
+    """Asserts that each request received its complete response."""
+    assertions.assert_that(
+        [call for call in calls if not call.is_whole], matchers.Equals([])
+    )
+
+
+def assert_promises_kept(cluster: partitioned_cluster.Cluster) -> None:
+    """Asserts at most one run, and none of what was refused as not run."""
+    assertions.assert_that(cluster.broken_promises(), matchers.Equals([]))
+
+
+@pytest.mark.parametrize("how", link_proxy.CUTS)
+async def test_callers_of_a_partitioned_host_are_served(
+    monkeypatch: pytest_lib.MonkeyPatch, how: str
+) -> None:
+    async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
+        assert_all_served(await cluster.call_all(range(HOSTS), 2))
+        cluster.cut(CUT, how)
+        await cluster.call_all(CUT, SETTLING_ROUNDS)
+        assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
+        await cluster.heal()
+        await cluster.call_all(CUT, SETTLING_ROUNDS)
+        assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
+        assert_promises_kept(cluster)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,8 @@
 
 import aiohttp
 import attrs
+import link_proxy
 import soak_backend
-import soak_proxy
 import soak_words
 import soak_world
 
@@ -317,9 +317,9 @@
         await self._disrupt_link(relay.store_link, relay.program.name)
 
     async def _disrupt_link(
-        self, link: soak_proxy.LinkProxy, relay: str
+        self, link: link_proxy.LinkProxy, relay: str
     ) -> None:
-        fault = self._random.choice(soak_proxy.FAULTS)
+        fault = self._random.choice(link_proxy.FAULTS)
         span = self._open_span(relay or "all", f"link {fault}")
         link.inject_fault(fault)
         await asyncio.sleep(self._random.uniform(*FAULT_DURATION_RANGE))
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -14,8 +14,8 @@
 
 import aiohttp
 import attrs
+import link_proxy
 import orjson
-import soak_proxy
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -152,7 +152,7 @@
     program: Program
     listen: str
     ready: str
-    store_link: soak_proxy.LinkProxy
+    store_link: link_proxy.LinkProxy
     in_rotation: bool = False
 
 
@@ -174,7 +174,7 @@
         self.session = session
         self.relays: list[RelayHost] = []
         self.backends: list[Program] = []
-        self.backend_links: list[soak_proxy.LinkProxy] = []
+        self.backend_links: list[link_proxy.LinkProxy] = []
         self.store_address = free_address()
         self._store = Program(
             "store",
@@ -192,7 +192,7 @@
         return [self._store, *self.backends, *(r.program for r in self.relays)]
 
     @property
-    def links(self) -> list[soak_proxy.LinkProxy]:
+    def links(self) -> list[link_proxy.LinkProxy]:
         """Links to the backend servers and to the store."""
         return [*self.backend_links, *(r.store_link for r in self.relays)]
 
@@ -210,7 +210,7 @@
     async def _start_backend(self, service: str, number: int) -> None:
         name = f"i-{service}-{number}"
         listen = free_address()
-        link = soak_proxy.LinkProxy(listen)
+        link = link_proxy.LinkProxy(listen)
         await link.start()
         arguments = [name, service, listen, link.listen, self.store_address]
         program = Program(
@@ -223,7 +223,7 @@
         self.backend_links.append(link)
 
     async def _start_relay(self, number: int) -> None:
-        link = soak_proxy.LinkProxy(self.store_address)
+        link = link_proxy.LinkProxy(self.store_address)
         await link.start()
         listen, ready = free_address(), free_address()
         internal = free_ports(2)
