Forward requests through other hosts where own links are lost

What callers saw: hosts cut from all backend servers refused everything for as long as the cut lasted (0 of 82 and 10 of 102 served, the others 195 of 220 and 120 of 121), and all hosts refused everything for four seconds.

Cause: a failure to reach a server was put down to the server. A cut host let the servers rest one by one, refused its callers and stayed ready. Where links were reset, a refused probe proved a server's end, which it told all others, and its requests were quarantined.

Evidence: server_ended for eight servers of all failure domains within 0.3 s on the cut host, told for the other two, then no_capacity without an attempt on hosts with sound links; the test fails on for links that hang, are reset, or refuse new connections.

Ruled out: readiness alone. Open connections stay with their host, and below half of a failure domain in rotation all its hosts are used.

Change: a link is judged by new connections, of requests and of probes. No new connection to any server since failures in two failure domains means that the host's own links are lost. It then passes attempts on to a host that reaches the server, over the internal port and one hop only. That host says whether it sent the request; if not, it counts as not run. A server has ended only if a host that reaches other servers is refused too. What a server was blamed for is undone once its link, or another host, proves otherwise.

After: the three listed tests pass, and one that a cut host's word does not make others drop servers (failed before).

--- a/src/hoistmoor/clients/exchange.py
+++ b/src/hoistmoor/clients/exchange.py
@@ -123,6 +123,7 @@
         request: The request to send.
         state: Progress of the exchange; remains valid after its end.
         not_run_reason: The server's reason in state ``DECLINED``.
+        is_reused: Whether it uses a connection that was open before.
     """
 
     def __init__(
@@ -152,7 +153,7 @@
         self._response: aiohttp.ClientResponse | None = None
         self._body: response_body.ResponseBody | None = None
         self._dropped_heads = 0
-        self._is_reused = False
+        self.is_reused = False
         self._unsent_bytes = len(request.body)
 
     async def __aenter__(self) -> Self:
@@ -181,7 +182,7 @@
 
     def on_connection(self, reused: bool) -> None:
         """Called with a connection, before any bytes are sent on it."""
-        self._is_reused = reused
+        self.is_reused = reused
         self._advance(_State.SENDING)
 
     def on_headers_sent(self) -> None:
@@ -241,7 +242,7 @@
         # A new connection has carried no other request, so a response without
         # an id can only belong to this attempt.
         is_own_response = echoed == self.request.attempt_id or (
-            echoed is None and not self._is_reused
+            echoed is None and not self.is_reused
         )
         if not is_own_response:
             self._dropped_heads += 1
--- a/src/hoistmoor/clients/exchange_errors.py
+++ b/src/hoistmoor/clients/exchange_errors.py
@@ -28,7 +28,22 @@
 
 
 class BackendUnreachableError(ExchangeError):
-    """No connection was opened, so no byte of the request was sent."""
+    """No connection was opened, so no byte of the request was sent.
+
+    Attributes:
+        was_refused: Whether the connection was refused rather than timed out.
+    """
+
+    def __init__(
+        self,
+        state: outcomes.ExchangeState,
+        problem: str,
+        remedy: str,
+        *,
+        was_refused: bool = False,
+    ) -> None:
+        super().__init__(state, problem, remedy)
+        self.was_refused = was_refused
 
 
 class BackendTimeoutError(ExchangeError):
@@ -52,6 +67,9 @@
             state,
             f"no connection to {url}: {error!r}",
             "Try another backend server.",
+            was_refused=isinstance(
+                getattr(error, "os_error", error), ConnectionError
+            ),
         )
     if isinstance(error, TimeoutError):
         return BackendTimeoutError(
--- a/src/hoistmoor/core/relay/answers/response_times.py
+++ b/src/hoistmoor/core/relay/answers/response_times.py
@@ -18,6 +18,8 @@
     FULL = enum.auto()  # The server declined for lack of capacity.
     UNREACHABLE = enum.auto()  # The server accepted no connection.
     REPLACED = enum.auto()  # A different server answered at the address.
+    # Another host was asked to forward the request, and did not send it.
+    NOT_FORWARDED = enum.auto()
     LEFT = enum.auto()  # Cancelled by this host; says nothing about the server.
 
 
--- a/src/hoistmoor/core/relay/beliefs/replication.py
+++ b/src/hoistmoor/core/relay/beliefs/replication.py
@@ -51,12 +51,15 @@
         zone: Failure domain.
         address: ``ip:port`` at which other relays reach it.
         link: Bandwidth of its link in Mbit/s; 0 if unknown.
+        forwards: Whether it forwards requests to servers for other hosts.
+            Entries of earlier versions lack the field.
     """
 
     name: str
     zone: str
     address: str
     link: float = 0.0
+    forwards: bool = False
 
 
 class TopicReplica:
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -53,6 +53,9 @@
     eligibility.IneligibilityReason.LEAVING: refusals.Reason.SERVERS_LEAVING,
     eligibility.IneligibilityReason.LIMITED: refusals.Reason.SERVERS_LIMITED,
     eligibility.IneligibilityReason.RESTING: refusals.Reason.SERVERS_RESTING,
+    eligibility.IneligibilityReason.UNREACHABLE: (
+        refusals.Reason.BACKEND_UNREACHABLE
+    ),
 }
 
 
@@ -174,7 +177,8 @@
         if event.state is _State.ANSWERED and not event.asks_rest:
             self._failed_versions |= {self.server.entry.version}
         can_deliver = event.state is _State.ANSWERED and not self._has_begun
-        self._excluded |= {self.server.entry.identity}
+        if not event.may_use_server:
+            self._excluded |= {self.server.entry.identity}
         self._detail = event.detail or f"status {event.status}"
         self._fall_back_to_small(event.state)
         if self._may_retry(event.state, now):
@@ -277,6 +281,7 @@
             self._counts.has_arrived,
             runs.Run(self.request.fingerprint),
             self._router.work_ahead(self.request, server, self.model, now),
+            self._router.fleet.reachability.forwarder_for(server, now),
         )
         self._router.record_sent(self.request, send, now)
         self.sent += 1
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
+from hoistmoor.core.relay.beliefs import replication
 from hoistmoor.core.relay.placement import partition
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import server as server_lib
@@ -58,6 +59,8 @@
         server_ended: Whether the server ended during the attempt.
         asks_rest: Whether the response asks for a rest: a pause in requests to
             the server.
+        may_use_server: Whether another attempt may use the same server, since
+            only the way to it failed.
     """
 
     state: outcomes.ExchangeState
@@ -65,6 +68,7 @@
     detail: str = ""
     server_ended: bool = False
     asks_rest: bool = False
+    may_use_server: bool = False
 
 
 @attrs.frozen
@@ -107,6 +111,8 @@
             the deadline.
         is_retry: Whether a server has already received the request.
         run: Execution of the request at the server.
+        forwarder: Host through which to send the request; None to send it
+            directly.
         ahead: Work at the server when the request is sent, its own included:
             prompt tokens for an engine, else requests relative to the slots; 0
             if unknown.
@@ -121,6 +127,7 @@
     is_retry: bool = False
     run: runs.Run = attrs.field(factory=runs.Run)
     ahead: float = 0.0
+    forwarder: replication.Host | None = None
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/course/retry_after.py
+++ b/src/hoistmoor/core/relay/course/retry_after.py
@@ -50,9 +50,17 @@
         return OTHER_HOST_DELAY
     if reason not in _THIS_HOST:
         return CAPACITY_DELAY
-    return _add_jitter(
-        min(MAX_DELAY, max(OTHER_HOST_DELAY, unavailable_duration)), draw
-    )
+    return delay_at_other_host(unavailable_duration, draw)
+
+
+def delay_at_other_host(lasted: float, draw: float) -> float:
+    """Returns the retry delay if this host cannot serve, but others may.
+
+    Args:
+        lasted: Seconds for which this host has not been able to serve.
+        draw: Random number from 0 to 1.
+    """
+    return _add_jitter(min(MAX_DELAY, max(OTHER_HOST_DELAY, lasted)), draw)
 
 
 def delay_during_rest(left: float, draw: float) -> float:
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -76,7 +76,7 @@
             host_name: Name of this host.
         """
         serials = serials_lib.Serials()
-        self.fleet = fleet_lib.Fleet(host_name, serials)
+        self.fleet = fleet_lib.Fleet(host_name, serials, zone)
         self.rollouts = rollouts.RolloutRegistry(bounds.session_life)
         self.response_times = response_times.ResponseTimes()
         self.accounts = shares_lib.AccountShares(host_name)
@@ -101,6 +101,9 @@
             response_times.AttemptOutcome.FULL: self._record_full,
             response_times.AttemptOutcome.REPLACED: self._record_replaced,
             response_times.AttemptOutcome.UNREACHABLE: self._record_unreachable,
+            response_times.AttemptOutcome.NOT_FORWARDED: (
+                self._record_not_forwarded
+            ),
         }
         self.set_bounds(bounds)
 
@@ -240,6 +243,8 @@
             return max(outlook.wait, retry_after.CAPACITY_DELAY)
         since = self._service(request.service).unavailable_since
         outage = 0.0 if since is None else now - since
+        if outlook.reason is eligibility.IneligibilityReason.UNREACHABLE:
+            return retry_after.delay_at_other_host(outage, self._draws.random())
         return retry_after.delay_without_servers(outage, self._draws.random())
 
     def class_of(
@@ -460,14 +465,22 @@
     def _record_unreachable(
         self, request: requests.RelayRequest, send: messages.Send, now: float
     ) -> None:
-        if send.is_retry:
-            self._service(request.service).budget.cancel_retry(now)
-        self.fleet.record_unreachable(send.server, now, self._draws.random())
-        send.server.health.rest_unreachable(
+        self._record_not_forwarded(request, send, now)
+        server = send.server
+        self.fleet.record_unreachable(server, now, self._draws.random())
+        has_begun = server.health.rest_unreachable(
             now,
             fleet_lib.UNREACHABLE_REST_SECONDS,
             fleet_lib.MAX_UNREACHABLE_REST_SECONDS,
         )
+        if has_begun:
+            server.link.rested_until = server.health.ejected_until
+
+    def _record_not_forwarded(
+        self, request: requests.RelayRequest, send: messages.Send, now: float
+    ) -> None:
+        if send.is_retry:
+            self._service(request.service).budget.cancel_retry(now)
 
     def record_server_end(
         self, server: server_lib.ServerState, now: float
--- a/src/hoistmoor/core/relay/servers/eligibility.py
+++ b/src/hoistmoor/core/relay/servers/eligibility.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
 
+    from hoistmoor.core.relay.links import reachability as reachability_lib
     from hoistmoor.core.relay.servers import headroom as headroom_lib
     from hoistmoor.core.relay.servers import server as server_lib
 
@@ -33,6 +34,7 @@
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     RESTING = "resting"
+    UNREACHABLE = "unreachable"
     COLD = "cold"
     LIMITED = "limited"
 
@@ -40,7 +42,11 @@
 # Reasons that end soon and do not concern the server's version. A session waits
 # for them to pass; otherwise it would switch versions back and forth.
 TRANSIENT_REASONS = frozenset(
-    {IneligibilityReason.RESTING, IneligibilityReason.LIMITED}
+    {
+        IneligibilityReason.RESTING,
+        IneligibilityReason.LIMITED,
+        IneligibilityReason.UNREACHABLE,
+    }
 )
 
 
@@ -66,7 +72,11 @@
         evacuated: Failure domains whose servers get no new work.
     """
 
-    def __init__(self, headroom: headroom_lib.Headroom) -> None:
+    def __init__(
+        self,
+        headroom: headroom_lib.Headroom,
+        reachability: reachability_lib.Reachability,
+    ) -> None:
         self.evacuated: frozenset[str] = frozenset()
         # Ordered so that the cheapest and most frequent reasons come first.
         self._checks: tuple[tuple[IneligibilityReason, _WaitFunction], ...] = (
@@ -74,6 +84,10 @@
             (IneligibilityReason.LEAVING, _wait_while_leaving),
             (IneligibilityReason.EVACUATED, self._wait_for_evacuation),
             (IneligibilityReason.RESTING, _wait_for_rest),
+            (
+                IneligibilityReason.UNREACHABLE,
+                reachability.wait_while_unreachable,
+            ),
             (IneligibilityReason.COLD, headroom.wait_while_cold),
             (IneligibilityReason.LIMITED, headroom.wait_for_rate_limit),
         )
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from hoistmoor.core.relay.links import forwarders as forwarders_lib
+from hoistmoor.core.relay.links import host_links
+from hoistmoor.core.relay.links import reachability as reachability_lib
 from hoistmoor.core.relay.servers import departure_gossip
 from hoistmoor.core.relay.servers import eligibility as eligibility_lib
 from hoistmoor.core.relay.servers import headroom as headroom_lib
@@ -76,6 +79,13 @@
     return server_lib.ServerState(entry, replaced_predecessor_at=now)
 
 
+def _forgive(state: server_lib.ServerState) -> None:
+    """Undoes what a server was blamed for while only the link had failed."""
+    state.possibly_cold_until = float("-inf")
+    state.health.end_unreachable_rest(state.link.rested_until)
+    state.link.rested_until = 0.0
+
+
 class Fleet:
     """All listed backend servers.
 
@@ -87,16 +97,23 @@
             send to one server.
         departures: Leaving servers, for exchange with other hosts.
         longest_rest: Maximum rest in seconds that a server may request.
+        links: This host's own links to the servers.
+        forwarders: Other hosts that may forward its requests.
+        reachability: Ways from this host to the servers.
     """
 
     def __init__(
-        self, host_name: str = "", serials: serials_lib.Serials | None = None
+        self,
+        host_name: str = "",
+        serials: serials_lib.Serials | None = None,
+        zone: str = "",
     ) -> None:
         """Creates an empty fleet.
 
         Args:
             host_name: Name of this host.
             serials: Source of change serials; None to use a private one.
+            zone: Failure domain of this host.
         """
         self.servers: dict[str, server_lib.ServerState] = {}
         self.warmups = warmup_lib.WarmupPolicies()
@@ -106,7 +123,14 @@
             serials or serials_lib.Serials()
         )
         self._headroom = headroom_lib.Headroom(self.warmups, self.shares)
-        self.eligibility = eligibility_lib.Eligibility(self._headroom)
+        self.links = host_links.HostLinks(self.servers.values)
+        self.forwarders = forwarders_lib.Forwarders(host_name, zone)
+        self.reachability = reachability_lib.Reachability(
+            self.links, self.forwarders
+        )
+        self.eligibility = eligibility_lib.Eligibility(
+            self._headroom, self.reachability
+        )
         self._by_service: dict[str, dict[str, server_lib.ServerState]] = {}
         # Last known state of removed servers, oldest first.
         self._removed: dict[str, server_lib.ServerState] = {}
@@ -226,6 +250,34 @@
         if warmup is not None:
             state.possibly_cold_until = now + warmup.duration * (1.0 + draw)
 
+    def record_connected(
+        self, state: server_lib.ServerState, now: float
+    ) -> float | None:
+        """Records a new connection to a server.
+
+        Returns:
+            Seconds for which this host had lost all links; None if it had not.
+        """
+        if state.link.failures and not state.link.was_refused:
+            _forgive(state)
+        return self.links.record_connected(state, now)
+
+    def record_reached(
+        self, state: server_lib.ServerState, forwarder: str, now: float
+    ) -> bool:
+        """Records that another host reached a server that this one did not.
+
+        Args:
+            state: The server.
+            forwarder: Name of the other host.
+            now: Monotonic time.
+
+        Returns:
+            Whether that was not known before.
+        """
+        _forgive(state)
+        return state.link.record_reached(forwarder, now)
+
     def next_eligibility(
         self, service: str, now: float
     ) -> eligibility_lib.NextEligibility | None:
@@ -371,6 +423,7 @@
             and draw <= server.rest.ramp_up_fraction(now)
         ]
         pool = preferred or pool
+        pool = self.reachability.preferred(pool, now) or pool
         for server in pool:
             server.health.end_rests(now)
         healthy = [server for server in pool if not server.health.is_resting]
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.links import link as link_lib
 from hoistmoor.core.relay.servers import departures
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import loads
@@ -119,6 +120,7 @@
         departure: Whether it has announced that it is leaving.
         rest: Rest that it requested from this host.
         speed: Evidence of how fast it is.
+        link: Link from this host to it.
         unreadable: Malformed values in its latest reports, by field.
     """
 
@@ -144,6 +146,7 @@
     )
     rest: rests.RestState = attrs.field(factory=rests.RestState)
     speed: speed_lib.ServerSpeed = attrs.field(factory=speed_lib.ServerSpeed)
+    link: link_lib.ServerLink = attrs.field(factory=link_lib.ServerLink)
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
     def relisted(self, entry: ServerEntry) -> ServerState:
--- a/src/hoistmoor/core/routing/health.py
+++ b/src/hoistmoor/core/routing/health.py
@@ -88,7 +88,7 @@
 
     def rest_unreachable(
         self, now: float, first: float, max_rest: float
-    ) -> None:
+    ) -> bool:
         """Starts a rest after a failed connection attempt.
 
         Concurrent attempts count once. Each rest is twice as long as the
@@ -98,9 +98,24 @@
             now: Monotonic time.
             first: Seconds of the first rest.
             max_rest: Maximum seconds of a rest.
+
+        Returns:
+            Whether a rest has begun.
+        """
+        if now < self.ejected_until:
+            return False
+        self._rest(now, first, max_rest)
+        return True
+
+    def end_unreachable_rest(self, until: float) -> None:
+        """Ends a rest that a failed connection attempt started.
+
+        Args:
+            until: End of that rest; a rest with another end goes on.
         """
-        if now >= self.ejected_until:
-            self._rest(now, first, max_rest)
+        if until and self.ejected_until == until:
+            self.ejected_until = 0.0
+            self.ejections = max(0, self.ejections - 1)
 
     def _rest(self, now: float, first: float, longest: float) -> None:
         rest = first * 2.0 ** min(self.ejections, 10)
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -26,6 +26,8 @@
 from hoistmoor.relay.front import backend_connector as backend_connector_lib
 from hoistmoor.relay.front import http_handlers as http_handlers_lib
 from hoistmoor.relay.front import server_end_detector
+from hoistmoor.relay.links import forward_handler
+from hoistmoor.relay.links import link_monitor
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
@@ -63,6 +65,7 @@
         settings_task: Reloads the settings.
         suspension: Detects that the machine was suspended.
         state: State shared by the tasks.
+        link_monitor: Tells failed servers from lost links.
         front: Handles callers' requests.
         followers: Topic followers by topic name.
         background_tasks: Background tasks by name, run while the relay serves.
@@ -113,16 +116,23 @@
         )
         deadlines = suspension.SuspensionAwareTimeouts()
         self.suspension = suspension.SuspensionMonitor(self.state, deadlines)
+        self._peer_client = peer_client.PeerClient(self.state, peer_session)
+        self.link_monitor = link_monitor.LinkMonitor(
+            self.state, self._peer_client
+        )
+        connector = backend_connector_lib.BackendConnector(
+            backends,
+            platform.headers,
+            dialect,
+            server_end_detector.ServerEndDetector(
+                self.state, self.link_monitor
+            ),
+            deadlines,
+        )
         self.front = http_handlers_lib.RequestHandler(
             self.state,
             admission.Admission(self.state, platform.headers, draws),
-            backend_connector_lib.BackendConnector(
-                backends,
-                platform.headers,
-                dialect,
-                server_end_detector.ServerEndDetector(self.state),
-                deadlines,
-            ),
+            connector,
             draws,
         )
         self.settings_task = settings_reloader.SettingsReloader(
@@ -144,13 +154,16 @@
             may_use_peers=bool(settings.peer_listen),
         )
         era_monitor.EraMonitor(self.state, self.followers).attach()
-        self._make_tasks(platform, peer_session)
+        self._make_tasks(platform)
         self._serving = relay_server.RelayServer(
             self.state,
             self.front,
             self.followers,
             self.background_tasks,
             lambda: self.settings,
+            forward_handler.ForwardHandler(
+                self.state, connector, self.link_monitor, self.front.held
+            ),
         )
 
     @property
@@ -173,7 +186,6 @@
     def _make_tasks(
         self,
         platform: ports.Platform,
-        peer_session: aiohttp.ClientSession,
     ) -> None:
         settings = self.settings
         self.background_tasks = {
@@ -181,6 +193,7 @@
         }
         self.background_tasks["settings"] = self.settings_task.run
         self.background_tasks["suspension"] = self.suspension.run
+        self.background_tasks["links"] = self.link_monitor.run
         self.background_tasks["lease"] = lease_monitor.LeaseMonitor(
             self.state
         ).run
@@ -204,7 +217,11 @@
             self.state.router.fleet.shares.set_hosts([settings.host])
             return
         own_host = replication.Host(
-            settings.host, settings.zone, settings.peer_listen, settings.link
+            settings.host,
+            settings.zone,
+            settings.peer_listen,
+            settings.link,
+            forwards=True,
         )
         listing = listing_lib.SelfListing(
             self.state,
@@ -215,12 +232,11 @@
             is_first_start=settings.is_first_start,
         )
         self.background_tasks["listing"] = listing.run
-        client = peer_client.PeerClient(self.state, peer_session)
         reader = reader_lib.PeerReader(
             self.state,
             self._sources,
             self.followers,
-            client,
+            self._peer_client,
             self._gate,
             listing,
         )
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -10,6 +10,7 @@
 from hoistmoor.core import outcomes
 from hoistmoor.core.relay.answers import response_times
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.links import forwarders
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -18,10 +19,32 @@
 
 _State = outcomes.ExchangeState
 
+# Seconds without a connection that show that none opens: nearly the timeout.
+CONNECT_EVIDENCE_SECONDS = 0.25
+
 _OUTCOMES = {
     _State.DECLINED: response_times.AttemptOutcome.FULL,
     _State.UNSENT: response_times.AttemptOutcome.UNREACHABLE,
 }
+# Another host did not send the request; by default the way to it is to blame.
+_FORWARD_OUTCOMES = {
+    **dict.fromkeys(
+        (
+            forwarders.ForwardResult.LINKS_LOST,
+            forwarders.ForwardResult.BUSY,
+            forwarders.ForwardResult.STOPPING,
+            forwarders.ForwardResult.UNKNOWN_SERVER,
+            forwarders.ForwardResult.UNSUPPORTED,
+            forwarders.ForwardResult.SILENT,
+        ),
+        response_times.AttemptOutcome.NOT_FORWARDED,
+    ),
+    forwarders.ForwardResult.UNREACHABLE: (
+        response_times.AttemptOutcome.UNREACHABLE
+    ),
+}
+# States in which a lost link can leave an attempt.
+_CUT_STATES = frozenset({_State.SENDING, _State.SENT, _State.ANSWERING})
 _MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
 
 
@@ -60,6 +83,12 @@
         detail: Description of the failure, for people.
         requests_rest: Whether the server requested a back-off with the
             response.
+        forward_result: What the host did that was asked to forward the
+            attempt; None if there is none, or it has not said.
+        was_refused: Whether the connection was refused.
+        forwarder_load: Requests that the forwarding host forwards.
+        is_link_lost: Whether the attempt failed while this host could not
+            connect to the server, so that the server is not to blame.
         notices: The server's notices against new requests at the time of the
             attempt, by kind.
         load: Load of the server at the time of the attempt.
@@ -78,6 +107,10 @@
     is_cut: bool = False
     detail: str = ""
     requests_rest: bool = False
+    forward_result: forwarders.ForwardResult | None = None
+    is_link_lost: bool = False
+    was_refused: bool = False
+    forwarder_load: int = 0
     notices: dict[str, str] = attrs.field(factory=dict)
     load: float = 0.0
 
@@ -115,6 +148,8 @@
         """
         if self.is_dropped:
             return response_times.AttemptOutcome.WELL
+        if self.forward_result in _FORWARD_OUTCOMES:
+            return _FORWARD_OUTCOMES[self.forward_result]
         if state is _State.DECLINED and self.status in replaced:
             return response_times.AttemptOutcome.REPLACED
         if self.requests_rest:
@@ -122,8 +157,31 @@
         is_complete = state is _State.ANSWERED
         if is_complete and self.status < _MIN_FAILURE_STATUS:
             return response_times.AttemptOutcome.WELL
+        if self.is_link_lost and state in _CUT_STATES:
+            return response_times.AttemptOutcome.LEFT
         return _OUTCOMES.get(state, response_times.AttemptOutcome.FAILED)
 
+    def proves_unreachable(self, now: float) -> bool:
+        """Returns whether an unsent attempt shows that no connection opens.
+
+        One that ended with its request's time does not.
+        """
+        waited = now - self.started
+        return self.was_refused or waited >= CONNECT_EVIDENCE_SECONDS
+
+    @property
+    def was_not_forwarded(self) -> bool:
+        """Whether another host did not send the request on."""
+        return self.forward_result in _FORWARD_OUTCOMES
+
+    @property
+    def may_use_server(self) -> bool:
+        """Whether another attempt may use the same server."""
+        return (
+            self.was_not_forwarded
+            and self.forward_result is not forwarders.ForwardResult.UNREACHABLE
+        )
+
     def measure(
         self,
         state: outcomes.ExchangeState,
@@ -149,6 +207,7 @@
         if (
             not (is_complete or is_silent or self.is_dropped)
             or self.requests_rest
+            or (self.is_link_lost and not is_complete)
         ):
             return None
         first = self.first or now
@@ -168,8 +227,10 @@
         notices = "".join(
             f" {kind} {text}" for kind, text in self.notices.items()
         )
+        forwarder = self.send.forwarder
+        way = f" through {forwarder.name}" if forwarder else ""
         return (
-            f"{entry.server_id} {entry.version} {self.send.model}"
+            f"{entry.server_id} {entry.version} {self.send.model}{way}"
             f" {state.name.lower()} {self.status}"
             f" {now - self.started:.3f}s{self.latency_summary()}{notices}"
             f" {self.detail}"
--- a/src/hoistmoor/relay/front/backend_connector.py
+++ b/src/hoistmoor/relay/front/backend_connector.py
@@ -13,6 +13,7 @@
 from hoistmoor.relay.front import forwarding
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.front import server_end_detector
+from hoistmoor.relay.links import forward_headers
 
 if TYPE_CHECKING:
     from hoistmoor.core.relay.beliefs import configuration
@@ -54,6 +55,7 @@
         dialect: How servers identify and decline an attempt.
         end_detector: Detects which servers have terminated.
         deadlines: Makes timeouts account for suspensions of the machine.
+        forwarding_dialect: The same for hosts that forward an attempt.
     """
 
     sessions: BackendSessions
@@ -61,6 +63,13 @@
     dialect: dialect_lib.Dialect
     end_detector: server_end_detector.ServerEndDetector
     deadlines: suspension.SuspensionAwareTimeouts
+    forwarding_dialect: dialect_lib.Dialect = attrs.field(init=False)
+
+    @forwarding_dialect.default
+    def _(self) -> dialect_lib.Dialect:
+        return forward_headers.ForwardingDialect(
+            **attrs.asdict(self.dialect, recurse=False)
+        )
 
     def open_exchange(
         self,
@@ -82,21 +91,47 @@
                 if there is none.
             now: Monotonic time.
         """
+        headers = forwarding.to_server(
+            head.headers, self.names, request, send, last_event, now
+        )
+        address = send.server.entry.address
+        dialect = self.dialect
+        seconds = max(0.0, send.deadline - now)
+        if send.forwarder is not None:
+            address = send.forwarder.address
+            dialect = self.forwarding_dialect
+            headers.update(_forwarding_headers(request, send, seconds))
         return exchange_lib.Exchange(
             self.sessions.for_route(request.route),
             exchange_lib.HttpRequest(
                 method=head.method,
-                url=f"http://{send.server.entry.address}{head.target}",
+                url=f"http://{address}{head.target}",
                 attempt_id=request.request_id,
-                headers=forwarding.to_server(
-                    head.headers, self.names, request, send, last_event, now
-                ),
+                headers=headers,
                 body=body,
             ),
             exchange_lib.Timeouts(
-                total=max(0.0, send.deadline - now),
+                total=seconds,
                 connect=CONNECT_TIMEOUT,
                 read=send.read_timeout,
             ),
-            self.dialect,
+            dialect,
         )
+
+
+def _forwarding_headers(
+    request: requests.RelayRequest, send: messages.Send, seconds: float
+) -> dict[str, str]:
+    """Returns what the forwarding host needs to know.
+
+    Args:
+        request: Admitted request.
+        send: Decision that names the server.
+        seconds: Seconds until the deadline.
+    """
+    return {
+        forward_headers.SERVER: send.server.entry.identity,
+        forward_headers.REPEATABLE: str(int(request.route.may_run_again)),
+        forward_headers.SECONDS: f"{seconds:.3f}",
+        forward_headers.ACCOUNT: request.account,
+    }
--- a/src/hoistmoor/relay/front/caller_response.py
+++ b/src/hoistmoor/relay/front/caller_response.py
@@ -57,7 +57,7 @@
             open_buffer: Returns the buffer of a stream to a transport.
         """
         response = web.StreamResponse(
-            status=head.status, headers=forwarding.to_caller(head.headers)
+            status=head.status, headers=forwarding.without_hop(head.headers)
         )
         response.enable_chunked_encoding()
         await self._prepare(response)
@@ -93,7 +93,7 @@
         """Sends a complete response of a server."""
         response = web.Response(
             status=head.status,
-            headers=forwarding.to_caller(head.headers),
+            headers=forwarding.without_hop(head.headers),
             body=body,
         )
         await self._prepare(response)
--- a/src/hoistmoor/relay/front/forwarding.py
+++ b/src/hoistmoor/relay/front/forwarding.py
@@ -9,6 +9,7 @@
 from hoistmoor.core.relay.answers import cascade
 from hoistmoor.core.relay.placement import urgency
 from hoistmoor.relay.front import header_names
+from hoistmoor.relay.links import forward_headers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -61,9 +62,16 @@
     return result
 
 
-def to_caller(headers: Mapping[str, str]) -> CIMultiDict[str]:
-    """Returns the headers of a response without the hop-by-hop headers."""
-    dropped = header_names.HOP_BY_HOP | _connection_options(headers)
+def without_hop(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Returns the headers of a message for its next hop.
+
+    Leaves out what concerns one connection, and what relays say to each other.
+    """
+    dropped = (
+        header_names.HOP_BY_HOP
+        | forward_headers.ALL
+        | _connection_options(headers)
+    )
     return CIMultiDict(
         (name, value)
         for name, value in headers.items()
--- a/src/hoistmoor/relay/front/http_handlers.py
+++ b/src/hoistmoor/relay/front/http_handlers.py
@@ -47,6 +47,7 @@
 
     Attributes:
         running: Tasks of the requests in progress.
+        held: Bytes that are held for requests in progress.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         self._links = links
         self._waiting = waiting_tasks.WaitingTasks(state)
         self._draws = draws
-        self._held = held_bytes.HeldBytes(state, draws.random)
+        self.held = held_bytes.HeldBytes(state, draws.random)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
@@ -97,7 +98,7 @@
         try:
             return await self._relay(request, head, answer, admitted, holding)
         finally:
-            self._held.resize(holding, 0)
+            self.held.resize(holding, 0)
 
     async def _relay(
         self,
@@ -133,7 +134,7 @@
             identified,
             body,
             answer,
-            self._held,
+            self.held,
             self._waiting,
         )
         return await task.run()
@@ -164,12 +165,12 @@
             if size > limit:
                 raise BodyTooLargeError(f"a body may have {limit} bytes")
             self._check_memory(holding, size)
-            self._held.resize(holding, size)
+            self.held.resize(holding, size)
             parts.append(data)
         return b"".join(parts)
 
     def _check_memory(self, holding: budget_lib.Holding, size: int) -> None:
-        refusal = self._held.refuse_body(holding, size)
+        refusal = self.held.refuse_body(holding, size)
         if refusal is not None:
             raise NoMemoryError(refusal)
 
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -13,11 +13,13 @@
 from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.links import forwarders
 from hoistmoor.core.relay.memory import budget as budget_lib
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import header_values
 from hoistmoor.relay.front import request_log
 from hoistmoor.relay.front import server_reports
+from hoistmoor.relay.links import forward_headers
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -187,6 +189,7 @@
         self._current = attempt
         try:
             state = await self._exchange_until_deadline(attempt)
+            state = await self._record_way(attempt, state)
             outcome = attempt.outcome(
                 state, self._links.dialect.not_run_statuses
             )
@@ -194,6 +197,10 @@
             send.run.is_cut = attempt.is_cut
         finally:
             attempt.exchange.cancel()
+            if send.forwarder is not None:
+                self._state.router.fleet.forwarders.record_end(
+                    send.forwarder.name
+                )
             self._state.router.record_outcome(
                 self._request, send, outcome, self._now()
             )
@@ -201,8 +208,6 @@
             self._state.router.suspects.record_completed(
                 self._request.fingerprint, self._now()
             )
-        if attempt.is_cut:
-            await self._links.end_detector.has_ended(send.server)
         self._current = None
         self._record_attempt(attempt, state)
         is_late = self._now() >= self._request.deadline
@@ -218,10 +223,53 @@
                 attempt.detail,
                 send.server.has_ended,
                 attempt.requests_rest,
+                attempt.may_use_server,
             ),
             self._now(),
         )
 
+    async def _record_way(
+        self, attempt: attempt_lib.Attempt, state: outcomes.ExchangeState
+    ) -> outcomes.ExchangeState:
+        """Records what an attempt tells about the way to its server.
+
+        Returns:
+            Final state of the attempt: unsent if another host that was to
+            forward it did not.
+        """
+        server = attempt.send.server
+        if attempt.send.forwarder is not None:
+            state = self._record_forwarder(attempt, state)
+        elif state is _State.UNSENT and attempt.proves_unreachable(self._now()):
+            self._state.links.record_failed(
+                server, was_refused=attempt.was_refused
+            )
+        if attempt.is_cut:
+            await self._links.end_detector.has_ended(server)
+        now = self._now()
+        attempt.is_link_lost = (
+            attempt.send.forwarder is None
+            and not self._state.router.fleet.links.is_usable(server, now)
+        )
+        return state
+
+    def _record_forwarder(
+        self, attempt: attempt_lib.Attempt, state: outcomes.ExchangeState
+    ) -> outcomes.ExchangeState:
+        forwarder = attempt.send.forwarder
+        assert forwarder is not None
+        result = attempt.forward_result
+        if result is None and (state is _State.UNSENT or attempt.is_cut):
+            result = forwarders.ForwardResult.SILENT
+            if state is _State.UNSENT:
+                attempt.forward_result = result
+        if result is None:
+            return state
+        self._state.links.record_answer(
+            attempt.send.server, forwarder.name, result, attempt.forwarder_load
+        )
+        return _State.UNSENT if attempt.was_not_forwarded else state
+
     def _open_attempt(self, send: messages.Send) -> attempt_lib.Attempt:
         now = self._now()
         exchange = self._links.open_exchange(
@@ -235,6 +283,8 @@
         if self._grant is not None:
             self._waiting.set_cost(self._grant, self._request, send.model)
         self._sequence.reset_buffer()
+        if send.forwarder is not None:
+            self._state.router.fleet.forwarders.record_sent(send.forwarder.name)
         self._state.report_tracker.record_send(send.server)
         notices = attempt_lib.active_notices(send.server, now)
         for kind in notices:
@@ -285,6 +335,10 @@
             streams.StreamOrderError,
         ) as error:
             attempt.detail = error.problem
+            attempt.was_refused = (
+                isinstance(error, exchange_errors.BackendUnreachableError)
+                and error.was_refused
+            )
             attempt.is_cut = isinstance(
                 error, exchange_errors.BackendDisconnectedError
             )
@@ -309,6 +363,12 @@
         self, attempt: attempt_lib.Attempt, head: exchange_lib.ResponseHead
     ) -> None:
         names = self._links.names
+        if attempt.send.forwarder is not None:
+            self._apply_forwarding(attempt, head)
+        elif not attempt.exchange.is_reused:
+            self._state.links.record_connected(attempt.send.server)
+        if attempt.was_not_forwarded:
+            return
         self._apply_report(attempt, head)
         if attempt.exchange.state is _State.DECLINED:
             attempt.detail = f"declined with {head.status}"
@@ -332,6 +392,26 @@
             attempt.is_dropped = True
             attempt.detail = f"confidence {confidence}"
 
+    def _apply_forwarding(
+        self, attempt: attempt_lib.Attempt, head: exchange_lib.ResponseHead
+    ) -> None:
+        """Applies what the forwarding host says.
+
+        Raises:
+            BackendDisconnectedError: The server cut its connection.
+        """
+        result = forward_headers.parse_result(head.headers)
+        attempt.forward_result = result
+        attempt.forwarder_load = forward_headers.parse_load(head.headers)
+        if attempt.was_not_forwarded:
+            attempt.detail = f"not forwarded: {result.value}"
+        if result is forwarders.ForwardResult.INTERRUPTED:
+            raise exchange_errors.BackendDisconnectedError(
+                attempt.exchange.state,
+                "connection cut behind the forwarding host",
+                "Check the outcome of the request before sending it again.",
+            )
+
     def _apply_report(
         self, attempt: attempt_lib.Attempt, head: exchange_lib.ResponseHead
     ) -> None:
--- /dev/null
+++ b/src/hoistmoor/relay/links/link_monitor.py
@@ -0,0 +1,159 @@
+"""Probes servers, and asks other hosts about those that do not respond."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoistmoor.core.relay.links import forwarders
+from hoistmoor.core.relay.links import link as link_lib
+from hoistmoor.relay.links import prober
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from hoistmoor.core.relay.servers import server as server_lib
+    from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.peers import peer_client
+
+CHECK_INTERVAL = 0.1  # Seconds between checks of what is due.
+MAX_QUESTIONS = 2  # Questions to other hosts at each check.
+# Other servers that are probed to tell a failed server from a lost link.
+SAMPLE_SIZE = 3
+
+_Result = forwarders.ForwardResult
+
+
+class LinkMonitor:
+    """Tells servers that have failed from links that this host has lost."""
+
+    def __init__(
+        self, state: state_lib.RelayState, client: peer_client.PeerClient
+    ) -> None:
+        """Creates the task.
+
+        Args:
+            state: Shared state of the relay.
+            client: Sends requests to other hosts.
+        """
+        self._state = state
+        self._client = client
+        self._probes: dict[str, asyncio.Task[link_lib.ProbeResult]] = {}
+        self._questions: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probes and asks until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL)
+            now = self._state.clock()
+            links = self._state.router.fleet.links
+            for server in links.due_probes(now):
+                self._start_probe(server)
+            for server in links.due_questions(now, MAX_QUESTIONS):
+                self._start_question(self._ask_about(server))
+
+    async def probe(
+        self, server: server_lib.ServerState
+    ) -> link_lib.ProbeResult:
+        """Probes a server; all callers of one moment share a connection."""
+        # The shield keeps the probe running for the others when one of them is
+        # cancelled.
+        return await asyncio.shield(self._start_probe(server))
+
+    def _start_probe(
+        self, server: server_lib.ServerState
+    ) -> asyncio.Task[link_lib.ProbeResult]:
+        identity = server.entry.identity
+        running = self._probes.get(identity)
+        if running is not None:
+            return running
+        started = asyncio.create_task(self._probe(server))
+        self._probes[identity] = started
+        started.add_done_callback(lambda _: self._probes.pop(identity, None))
+        return started
+
+    async def _probe(
+        self, server: server_lib.ServerState
+    ) -> link_lib.ProbeResult:
+        result = await prober.probe(server.entry.address)
+        self._state.links.record_probe(server, result)
+        return result
+
+    def _start_question(self, question: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(question)
+        self._questions.add(task)
+        task.add_done_callback(self._questions.discard)
+
+    async def _ask_about(self, server: server_lib.ServerState) -> None:
+        await self.ask_others(server)
+
+    async def ask_others(
+        self, server: server_lib.ServerState
+    ) -> forwarders.ForwardResult | None:
+        """Asks another host whether it reaches a server.
+
+        Returns:
+            ``REACHABLE`` or ``UNREACHABLE``; None if no host could tell.
+        """
+        selector = self._state.router.fleet.forwarders
+        for host in selector.usable(self._state.clock()):
+            result = await self._client.ask_whether_reachable(
+                host, server.entry.identity
+            )
+            self._state.links.record_answer(server, host.name, result)
+            if result in (_Result.REACHABLE, _Result.UNREACHABLE):
+                return result
+        return None
+
+    async def diagnose(
+        self, server: server_lib.ServerState
+    ) -> forwarders.ForwardResult:
+        """Returns why a server cannot be reached, or that it can be.
+
+        Only a host that reaches another server at that moment may call this
+        one unreachable: hosts lose their links together.
+        """
+        began = self._state.clock()
+        others = self._sample_others(server)
+        results = await asyncio.gather(
+            self.probe(server), *(self.probe(other) for other in others)
+        )
+        if results[0] is link_lib.ProbeResult.CONNECTED:
+            return _Result.REACHABLE
+        if self._state.router.fleet.links.connected_at >= began:
+            return _Result.UNREACHABLE
+        return _Result.LINKS_LOST
+
+    def _sample_others(
+        self, server: server_lib.ServerState
+    ) -> list[server_lib.ServerState]:
+        """Returns other servers, those with open links first."""
+        others = [
+            each for each in self._state.router.fleet if each is not server
+        ]
+        others.sort(
+            key=lambda each: (
+                each.link.failures > 0,
+                each.entry.zone == server.entry.zone,
+                -each.link.connected_at,
+            )
+        )
+        return others[:SAMPLE_SIZE]
+
+    async def has_ended(self, server: server_lib.ServerState) -> bool:
+        """Returns whether a server has terminated, as far as can be known.
+
+        The address of a terminated server refuses connections, but so does a
+        link that was lost. The word of a host that reaches other servers
+        decides, of this one or of another.
+        """
+        if await self.probe(server) is not link_lib.ProbeResult.REFUSED:
+            return False
+        told = await self.ask_others(server)
+        if told is not None:
+            return told is _Result.UNREACHABLE
+        found = await self.diagnose(server)
+        is_alone = not self._state.router.fleet.forwarders.hosts
+        return found is _Result.UNREACHABLE or (
+            found is _Result.LINKS_LOST and is_alone
+        )
--- a/src/hoistmoor/relay/metrics.py
+++ b/src/hoistmoor/relay/metrics.py
@@ -31,6 +31,11 @@
             as older than the local copy, by topic.
         reader_fraction: Fraction of a service's engines that read long prompts,
             by service.
+        forwarded: Requests and questions that another host was asked to
+            forward, and that this host forwarded for others, by result.
+        links_lost: 1 while this host has lost its links to all servers.
+        link_probes: Connections opened only to see whether a server can be
+            reached, by result.
         memory_used: Largest fraction of an engine's memory that outstanding
             requests need, by service.
     """
@@ -132,6 +137,24 @@
             registry=self.registry,
         )
 
+        self.forwarded = prometheus_client.Counter(
+            "hoistmoor_relay_forwarded",
+            "Requests that other hosts forward for this one, or it for them.",
+            ["side", "result"],
+            registry=self.registry,
+        )
+        self.links_lost = prometheus_client.Gauge(
+            "hoistmoor_relay_links_lost",
+            "1 while this host reaches no server itself.",
+            registry=self.registry,
+        )
+        self.link_probes = prometheus_client.Counter(
+            "hoistmoor_relay_link_probes",
+            "Connections that only show whether a server can be reached.",
+            ["result"],
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/hoistmoor/relay/peers/listing.py
+++ b/src/hoistmoor/relay/peers/listing.py
@@ -60,7 +60,9 @@
         if update.batch.is_snapshot and self.lost_hosts():
             self.has_lost_hosts.set()
         if update.batch.records:  # Most updates are empty.
-            self._state.router.fleet.shares.set_hosts(self._sources.hosts)
+            fleet = self._state.router.fleet
+            fleet.shares.set_hosts(self._sources.hosts)
+            fleet.forwarders.set_hosts(self._sources.hosts.values())
         return update.batch.records
 
     def lost_hosts(self) -> dict[str, replication.Host]:
--- a/src/hoistmoor/relay/peers/peer_client.py
+++ b/src/hoistmoor/relay/peers/peer_client.py
@@ -7,6 +7,8 @@
 import aiohttp
 
 from hoistmoor.clients import service_client
+from hoistmoor.core.relay.links import forwarders
+from hoistmoor.relay.links import forward_headers
 from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
@@ -19,6 +21,8 @@
 # Seconds for a complete response, such as a configuration of 90 KB that is sent
 # to many hosts at once.
 TOTAL_TIMEOUT = 1.0
+# Seconds for another host to probe a server and some more, all at once.
+QUESTION_TIMEOUT = 0.6
 
 
 class PeerClient:
@@ -42,6 +46,27 @@
             )
             return None
 
+    async def ask_whether_reachable(
+        self, host: replication.Host, identity: str
+    ) -> forwarders.ForwardResult:
+        """Returns whether another host reaches a server.
+
+        Args:
+            host: The other host.
+            identity: Identity of the server.
+        """
+        try:
+            async with self._session.get(
+                f"http://{host.address}/",
+                headers={forward_headers.QUESTION: identity},
+                timeout=aiohttp.ClientTimeout(
+                    total=QUESTION_TIMEOUT, connect=TIMEOUT
+                ),
+            ) as response:
+                return forward_headers.parse_result(response.headers)
+        except service_client.TRANSPORT_ERRORS:
+            return forwarders.ForwardResult.SILENT
+
     async def _exchange(
         self, host: replication.Host, body: bytes
     ) -> peer_codec.CopyAnswer:
--- a/src/hoistmoor/relay/peers/request_handler.py
+++ b/src/hoistmoor/relay/peers/request_handler.py
@@ -7,14 +7,21 @@
 from aiohttp import web
 
 from hoistmoor.core.relay.servers import limit_gossip
+from hoistmoor.relay.links import forward_headers
 from hoistmoor.relay.peers import change_exchange
 from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from hoistmoor.core.relay.beliefs import topics
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.store import follower as follower_lib
 
+    _Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+# A request with one of these headers is for a server.
+_FORWARDING = frozenset({forward_headers.SERVER, forward_headers.QUESTION})
 _FOREVER = 1e9  # Seconds; JSON cannot represent infinity.
 
 
@@ -25,12 +32,25 @@
         self,
         state: state_lib.RelayState,
         followers: dict[str, follower_lib.TopicFollower],
+        forward: _Handler | None = None,
     ) -> None:
+        """Initializes the handler.
+
+        Args:
+            state: Shared state of the relay.
+            followers: Followers of the store's topics, by topic name.
+            forward: Handles requests to be forwarded to servers.
+        """
         self._state = state
+        self._forward = forward
         self._followers = followers
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles an HTTP request."""
+        if self._forward is not None and not _FORWARDING.isdisjoint(
+            request.headers
+        ):
+            return await self._forward(request)
         try:
             copy_request = peer_codec.decode_request(await request.read())
         except ValueError:
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -17,6 +17,7 @@
 
     from hoistmoor.relay import settings as settings_lib
     from hoistmoor.relay import state as state_lib
+    from hoistmoor.relay.links import forward_handler
     from hoistmoor.relay.store import follower as follower_lib
 
 # Seconds after the stop signal during which requests are still accepted: the
@@ -45,6 +46,7 @@
         followers: dict[str, follower_lib.TopicFollower],
         loops: Mapping[str, Callable[[], Coroutine[Any, Any, None]]],
         settings: Callable[[], settings_lib.RelaySettings],
+        forwarding: forward_handler.ForwardHandler,
     ) -> None:
         """Initializes the relay's lifecycle without starting anything.
 
@@ -54,6 +56,7 @@
             followers: Topic followers by topic name.
             loops: Background tasks by name.
             settings: Returns the settings in force.
+            forwarding: Forwards requests of other hosts.
         """
         self.addresses: list[str] = []
         self._state = state
@@ -61,6 +64,7 @@
         self._followers = followers
         self._loops = loops
         self._settings = settings
+        self._forwarding = forwarding
 
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then shuts down gracefully."""
@@ -102,7 +106,7 @@
             handlers.append((settings.metrics_listen, metrics.handle))
         if settings.peer_listen:
             answers = request_handler_lib.PeerRequestHandler(
-                self._state, self._followers
+                self._state, self._followers, self._forwarding.handle
             )
             handlers.append((settings.peer_listen, answers.handle))
         runners = []
@@ -128,14 +132,18 @@
         """Drains the relay: lets running requests finish until the timeout."""
         state = self._state
         began = state.clock()
-        state.log.write("stopping", running=len(self._front.running))
+        state.log.write("stopping", running=len(self._running()))
         state.draining = True
         await asyncio.sleep(DRAIN_SECONDS)
         state.stopping = True
         end = began + self._settings().stop_timeout - STOP_MARGIN
-        while self._front.running and state.clock() < end:
+        while self._running() and state.clock() < end:
             await asyncio.wait(
-                set(self._front.running),
+                self._running(),
                 timeout=min(STOP_POLL_INTERVAL, end - state.clock()),
             )
-        state.log.write("stop", left=len(self._front.running))
+        state.log.write("stop", left=len(self._running()))
+
+    def _running(self) -> set[asyncio.Task[Any]]:
+        """Returns the requests in progress, also those of other hosts."""
+        return self._front.running | self._forwarding.running
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -23,6 +23,7 @@
 from hoistmoor.relay import metrics as metrics_lib
 from hoistmoor.relay import reading_monitor as reading_monitor_lib
 from hoistmoor.relay import report_tracker as report_tracker_lib
+from hoistmoor.relay.links import link_tracker
 
 
 @attrs.define(eq=False)
@@ -55,6 +56,7 @@
         has_urgent_changes: Set when peers should be informed immediately.
         report_tracker: Applies servers' reports about themselves.
         reading_monitor: Reports the engines that read long prompts.
+        links: Records which servers can be reached.
     """
 
     clock: Callable[[], float]
@@ -95,6 +97,7 @@
     reading_monitor: reading_monitor_lib.ReadingMonitor = attrs.field(
         init=False
     )
+    links: link_tracker.LinkTracker = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Records the start time and connects the server reports."""
@@ -105,6 +108,9 @@
             self.log_change,
             self.has_urgent_changes,
         )
+        self.links = link_tracker.LinkTracker(
+            self.router.fleet, self.clock, self.log_change, self.counters
+        )
         self.reading_monitor = reading_monitor_lib.ReadingMonitor(
             self.router, self.counters, self.log_change
         )
@@ -277,4 +283,16 @@
             and self.configuration is not None
             and {"servers", "phases"} <= self.topics_read
             and self.lease.is_valid(self.clock())
+            and self._can_reach_servers()
+        )
+
+    def _can_reach_servers(self) -> bool:
+        """Returns whether this host reaches servers, itself or through others.
+
+        Callers are better off elsewhere if it does not. With another host's
+        help it serves them as well as that host would.
+        """
+        fleet = self.router.fleet
+        return fleet.links.lost_since is None or fleet.forwarders.has_any(
+            self.clock()
         )
--- a/tests/relay/test_relay_partitioned_host.py
+++ b/tests/relay/test_relay_partitioned_host.py
@@ -51,3 +51,25 @@
         await cluster.call_all(CUT, SETTLING_ROUNDS)
         assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
         assert_promises_kept(cluster)
+
+
+async def test_a_partitioned_host_does_not_report_servers_as_ended(
+    monkeypatch: pytest_lib.MonkeyPatch,
+) -> None:
+    async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
+        assert_all_served(await cluster.call_all(range(HOSTS), 2))
+        streams = await cluster.begin_streams(CUT)
+        cluster.cut(CUT, link_proxy.RESET)
+        cluster.let_streams_proceed()
+        await streams
+        for _ in range(SETTLING_ROUNDS):
+            await cluster.call_all(CUT, 1)
+            await cluster.exchange_state()
+            assert_all_served(await cluster.call_all(SOUND, 1))
+        ended = [
+            server
+            for relay in cluster.relays
+            for server in relay.state.router.fleet
+            if server.has_ended
+        ]
+        assertions.assert_that(ended, matchers.Equals([]))
