Let a server that was only silent return after a second

What callers saw: a sound server that is silent for a second and goes on was left out for five seconds by each host on which three requests had timed out, and twice as long the next time.

Cause: silence counted like failed answers.

Evidence: test_relay_silent_server fails without the change: with five timed-out requests the server is no candidate a second after its silence.

Change: an attempt without any byte of a response has an outcome of its own. The rest after it begins at one second and doubles, so that a server which stays silent costs as few requests as before. A connection that was cut counts as a failure as before.

--- a/src/hoistmoor/core/relay/answers/response_times.py
+++ b/src/hoistmoor/core/relay/answers/response_times.py
@@ -15,6 +15,7 @@
 
     WELL = enum.auto()
     FAILED = enum.auto()
+    SILENT = enum.auto()  # No byte of a response arrived in time.
     FULL = enum.auto()  # The server declined for lack of capacity.
     UNREACHABLE = enum.auto()  # The server accepted no connection.
     REPLACED = enum.auto()  # A different server answered at the address.
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -98,6 +98,7 @@
         ] = {
             response_times.AttemptOutcome.WELL: self._record_success,
             response_times.AttemptOutcome.FAILED: self._record_failure,
+            response_times.AttemptOutcome.SILENT: self._record_silent,
             response_times.AttemptOutcome.FULL: self._record_full,
             response_times.AttemptOutcome.REPLACED: self._record_replaced,
             response_times.AttemptOutcome.UNREACHABLE: self._record_unreachable,
@@ -450,6 +451,14 @@
         if health.is_outlier():
             health.eject(now)
 
+    def _record_silent(
+        self, request: requests.RelayRequest, send: messages.Send, now: float
+    ) -> None:
+        health = send.server.health
+        health.record(False, 1.0)
+        if health.is_outlier() and not health.is_ejected:
+            health.eject_silent(now)
+
     def _record_full(
         self, request: requests.RelayRequest, send: messages.Send, now: float
     ) -> None:
--- a/src/hoistmoor/core/routing/health.py
+++ b/src/hoistmoor/core/routing/health.py
@@ -15,6 +15,8 @@
 MAX_RELATIVE_DURATION = 3.0
 MIN_ATTEMPTS = 8  # Attempts before rates and durations are evaluated.
 FIRST_REST_S = 5.0
+# First rest of a server that was silent and may go on after a second.
+FIRST_SILENT_REST_S = 1.0
 MAX_REST_S = 60.0
 
 
@@ -86,6 +88,10 @@
         """Starts a rest twice as long as the previous one."""
         self._rest(now, FIRST_REST_S, MAX_REST_S)
 
+    def eject_silent(self, now: float) -> None:
+        """Starts a rest of a server that does not respond, but may soon."""
+        self._rest(now, FIRST_SILENT_REST_S, MAX_REST_S)
+
     def rest_unreachable(
         self, now: float, first: float, max_rest: float
     ) -> bool:
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -25,6 +25,7 @@
 _OUTCOMES = {
     _State.DECLINED: response_times.AttemptOutcome.FULL,
     _State.UNSENT: response_times.AttemptOutcome.UNREACHABLE,
+    _State.SENT: response_times.AttemptOutcome.SILENT,
 }
 # Another host did not send the request; by default the way to it is to blame.
 _FORWARD_OUTCOMES = {
@@ -159,6 +160,8 @@
             return response_times.AttemptOutcome.WELL
         if self.is_link_lost and state in _CUT_STATES:
             return response_times.AttemptOutcome.LEFT
+        if self.is_cut:
+            return response_times.AttemptOutcome.FAILED
         return _OUTCOMES.get(state, response_times.AttemptOutcome.FAILED)
 
     def proves_unreachable(self, now: float) -> bool:
