Keep brittle servers from falling over

Cause: nothing read the word, and each host sends to the server that looks idle, which is the one that has just come back.

Change: a host holds a fixed part of the requests that a brittle server runs at once, by the same shares that keep named limits. The rest waits in the host's queue, whose room is that part, or is refused at once as not run. One word of one server holds for its service, as all of them say it.

Not covered: hosts do not tell each other. A host that has just started learns with its first answer.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -52,6 +52,7 @@
     eligibility.IneligibilityReason.COLD: refusals.Reason.NO_CAPACITY,
     eligibility.IneligibilityReason.LEAVING: refusals.Reason.SERVERS_LEAVING,
     eligibility.IneligibilityReason.LIMITED: refusals.Reason.SERVERS_LIMITED,
+    eligibility.IneligibilityReason.FULL: refusals.Reason.SERVERS_LIMITED,
     eligibility.IneligibilityReason.RESTING: refusals.Reason.SERVERS_RESTING,
     eligibility.IneligibilityReason.UNREACHABLE: (
         refusals.Reason.BACKEND_UNREACHABLE
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -19,6 +19,7 @@
 from hoistmoor.core.relay.placement import partition as partition_lib
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.placement import service_state
+from hoistmoor.core.relay.servers import brittleness
 from hoistmoor.core.relay.servers import demand_totals
 from hoistmoor.core.relay.servers import eligibility
 from hoistmoor.core.relay.servers import fleet as fleet_lib
@@ -462,7 +463,9 @@
     def _record_full(
         self, request: requests.RelayRequest, send: messages.Send, now: float
     ) -> None:
-        send.server.health.at_capacity_until = now + fleet_lib.FULL_REST_SECONDS
+        server = send.server
+        server.health.at_capacity_until = now + fleet_lib.FULL_REST_SECONDS
+        server.brittle.rests_until = now + brittleness.TURNED_AWAY_REST
 
     def _record_replaced(
         self, request: requests.RelayRequest, send: messages.Send, now: float
--- a/src/hoistmoor/core/relay/servers/eligibility.py
+++ b/src/hoistmoor/core/relay/servers/eligibility.py
@@ -37,6 +37,7 @@
     UNREACHABLE = "unreachable"
     COLD = "cold"
     LIMITED = "limited"
+    FULL = "full"
 
 
 # Reasons that end soon and do not concern the server's version. A session waits
@@ -46,6 +47,7 @@
         IneligibilityReason.RESTING,
         IneligibilityReason.LIMITED,
         IneligibilityReason.UNREACHABLE,
+        IneligibilityReason.FULL,
     }
 )
 
@@ -90,6 +92,7 @@
             ),
             (IneligibilityReason.COLD, headroom.wait_while_cold),
             (IneligibilityReason.LIMITED, headroom.wait_for_rate_limit),
+            (IneligibilityReason.FULL, headroom.wait_while_brittle),
         )
 
     def is_eligible(
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -265,6 +265,45 @@
             _forgive(server)
         return regained
 
+    def record_brittle(
+        self, state: server_lib.ServerState, tolerance: float, now: float
+    ) -> bool:
+        """Records that a server announced that it is brittle.
+
+        Its service's other servers are, too; this host may not use them for a
+        while and thus not hear of it.
+
+        Args:
+            state: The server.
+            tolerance: Requests that it may turn away in a second.
+            now: Monotonic time.
+
+        Returns:
+            Whether that is news.
+        """
+        for server in self._servers_of(state.entry.service):
+            if server is not state:
+                server.brittle.record_by_other(tolerance, now)
+        return state.brittle.record(tolerance, now)
+
+    def brittle_quota(self, service: str, now: float) -> int | None:
+        """Returns the requests that this host may have at brittle servers.
+
+        None if a server may be used that is not brittle.
+        """
+        usable = self.eligible(
+            service, now, (eligibility_lib.IneligibilityReason.FULL,)
+        )
+        if not usable or not all(
+            server.brittle.is_active(now) for server in usable
+        ):
+            return None
+        return sum(self._headroom.brittle_quota(server) for server in usable)
+
+    def set_memory_slots(self, service: str, requests: float) -> None:
+        """Sets how many requests an engine's memory holds on average."""
+        self._headroom.memory_slots[service] = requests
+
     def record_reached(
         self, state: server_lib.ServerState, forwarder: str, now: float
     ) -> bool:
--- a/src/hoistmoor/core/relay/servers/headroom.py
+++ b/src/hoistmoor/core/relay/servers/headroom.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.servers import brittleness
 from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import shares as shares_lib
 from hoistmoor.core.relay.servers import warmup as warmup_lib
@@ -28,10 +29,12 @@
         warmups: Warm-up policies of the services.
         shares: This host's share of the requests that all hosts together may
             send to one server.
+        memory_slots: Mean requests that an engine's memory holds, by service.
     """
 
     warmups: warmup_lib.WarmupPolicies
     shares: shares_lib.HostShares
+    memory_slots: dict[str, float] = attrs.field(factory=dict)
 
     def wait_while_cold(
         self, state: server_lib.ServerState, now: float
@@ -63,6 +66,33 @@
             warmup_lib.WINDOW_SECONDS / part.total if part.total else math.inf
         )
 
+    def wait_while_brittle(
+        self, state: server_lib.ServerState, now: float
+    ) -> float:
+        """Returns the seconds until a brittle server can take another request.
+
+        0 for a server that is not brittle.
+        """
+        brittle = state.brittle
+        if brittle.tolerance is None or not brittle.is_active(now):
+            return 0.0
+        if now < brittle.rests_until:
+            return brittle.rests_until - now
+        has_waiting = (
+            state.load.waiting > 0
+            and now - state.load.at < brittleness.WAITING_TTL
+        )
+        if has_waiting or state.in_flight >= self.brittle_quota(state):
+            return brittleness.EXPECTED_WAIT
+        return 0.0
+
+    def brittle_quota(self, state: server_lib.ServerState) -> int:
+        """Returns the requests that this host may have at a brittle server."""
+        entry = state.entry
+        memory = self.memory_slots.get(entry.service, math.inf)
+        slots = max(1, int(min(entry.slots, memory)))
+        return self.shares.quota_for(f"{entry.identity} brittle", slots).own
+
     def wait_for_rate_limit(
         self, state: server_lib.ServerState, now: float
     ) -> float:
--- a/src/hoistmoor/core/relay/servers/reports.py
+++ b/src/hoistmoor/core/relay/servers/reports.py
@@ -20,6 +20,7 @@
     LIMIT = "limit"
     LEAVING = "leaving"
     REST = "rest"
+    BRITTLE = "brittle"
 
 
 @attrs.frozen
@@ -52,6 +53,8 @@
         is_leaving: Whether it is about to exit.
         rest: Seconds for which the receiving host should send it nothing; None
             if absent or malformed.
+        brittle: Requests that it may turn away in a second before it falls
+            over; None if it is not brittle, or the value is malformed.
         unreadable: Malformed values, by field.
         unsupported: Names, as received, of reported fields that are not
             supported.
@@ -61,5 +64,6 @@
     limit: float | None = None
     is_leaving: bool = False
     rest: float | None = None
+    brittle: float | None = None
     unreadable: dict[ReportField, str] = attrs.field(factory=dict)
     unsupported: tuple[str, ...] = ()
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hoistmoor.core.relay.links import link as link_lib
+from hoistmoor.core.relay.servers import brittleness
 from hoistmoor.core.relay.servers import departures
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import loads
@@ -121,6 +122,7 @@
         rest: Rest that it requested from this host.
         speed: Evidence of how fast it is.
         link: Link from this host to it.
+        brittle: Whether it falls over when it turns requests away.
         unreadable: Malformed values in its latest reports, by field.
     """
 
@@ -147,6 +149,9 @@
     rest: rests.RestState = attrs.field(factory=rests.RestState)
     speed: speed_lib.ServerSpeed = attrs.field(factory=speed_lib.ServerSpeed)
     link: link_lib.ServerLink = attrs.field(factory=link_lib.ServerLink)
+    brittle: brittleness.BrittleState = attrs.field(
+        factory=brittleness.BrittleState
+    )
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
     def relisted(self, entry: ServerEntry) -> ServerState:
--- a/src/hoistmoor/core/relay/waiting/room.py
+++ b/src/hoistmoor/core/relay/waiting/room.py
@@ -164,6 +164,12 @@
             requests = min(requests, memory / self.mean_memory)
         return requests * self.mean_cost
 
+    def requests_in_memory(self) -> float:
+        """Returns the mean requests for which an engine has memory."""
+        if not self.memory_tokens or not self.mean_memory:
+            return math.inf
+        return self.memory_tokens / self.mean_memory
+
     def seconds_of(self, cost: float) -> float:
         """Returns the seconds that a usual server takes for a cost."""
         load = sum(each.load for each in self._classes.values())
--- a/src/hoistmoor/core/relay/waiting/waiting_rooms.py
+++ b/src/hoistmoor/core/relay/waiting/waiting_rooms.py
@@ -20,6 +20,10 @@
     from hoistmoor.core.routing import hashing
 
 
+# Room of a host without any part of it; a host's room must not be 0.
+MIN_ROOM = 1e-6
+
+
 def no_excess(account: str, service: str, now: float) -> float:
     """Returns the excess of an account where shares are not counted."""
     return 0.0
@@ -92,6 +96,9 @@
         service.room.has_engine = request.prompt is not None
         service.room.memory_tokens = memory_tokens
         service.room.record_request(priority, cost, _memory_of(request))
+        self._fleet.set_memory_slots(
+            request.service, service.room.requests_in_memory()
+        )
         self._serial += 1
         time_limit = self._time_limit(request)
         left = request.deadline - request.arrived
@@ -209,6 +216,9 @@
 
     def _demand(self, name: str, now: float) -> host_queue.Demand:
         service = self.services[name]
+        quota = self._fleet.brittle_quota(name, now)
+        if quota is not None:
+            return _fixed_demand(quota * max(1.0, service.room.mean_cost))
         load = service_load.observe(
             self._fleet.eligible(name, now),
             service.room.mean_cost,
@@ -224,6 +234,16 @@
         )
 
 
+def _fixed_demand(room: float) -> host_queue.Demand:
+    """Returns the demand where this host has a fixed part of the room.
+
+    Args:
+        room: Cost that this host may have outstanding.
+    """
+    limits = dict.fromkeys(room_lib.PRIORITIES, max(room, MIN_ROOM))
+    return host_queue.Demand(limits, 0.0, 0.0, is_scarce=True)
+
+
 def cost_of(request: requests.RelayRequest, model: str) -> float:
     """Returns the work of a request to an engine, else 1."""
     return max(1.0, request.work(model))
--- a/src/hoistmoor/platform/names.py
+++ b/src/hoistmoor/platform/names.py
@@ -19,6 +19,7 @@
     load="Hoistmoor-Instance-Load",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    brittle="Server-Brittle",
     model="Hoistmoor-Model",
     tokens="Hoistmoor-Token-Usage",
     prefix="Hoistmoor-Prefix-Hash",
--- a/src/hoistmoor/relay/front/header_names.py
+++ b/src/hoistmoor/relay/front/header_names.py
@@ -40,6 +40,8 @@
         load: A server's running and waiting requests, and its slots.
         limit: Requests per second that a server accepts from all hosts
             together.
+        brittle: Requests that a server may turn away in a second before it
+            falls over.
         leaving: Announces that a server is about to terminate.
         model: Requested model.
         tokens: Tokens of the prompt, and the maximum of new tokens.
@@ -65,6 +67,7 @@
     load: str = "X-Load"
     limit: str = "X-Server-Limit"
     leaving: str = "X-Server-Leaving"
+    brittle: str = "X-Server-Brittle"
     model: str = "X-Model"
     tokens: str = "X-Tokens"
     prefix: str = "X-Prompt-Parts"
@@ -87,6 +90,7 @@
             self.load,
             self.limit,
             self.leaving,
+            self.brittle,
             self.confidence,
         )
         return frozenset(name.lower() for name in names) | self.ignored
--- a/src/hoistmoor/relay/front/server_reports.py
+++ b/src/hoistmoor/relay/front/server_reports.py
@@ -42,12 +42,14 @@
     load = _value_of(headers, names.load)
     limit = _value_of(headers, names.limit)
     leaving = _value_of(headers, names.leaving)
+    brittle = _value_of(headers, names.brittle)
     rest = _value_of(headers, RETRY_AFTER) if status == BACKOFF_STATUS else None
     for word, text, form in (
         (reports.ReportField.LOAD, load, _LOAD),
         (reports.ReportField.LIMIT, limit, _DECIMAL),
         (reports.ReportField.LEAVING, leaving, _YES),
         (reports.ReportField.REST, rest, _DECIMAL),
+        (reports.ReportField.BRITTLE, brittle, _DECIMAL),
     ):
         if text is not None and form.fullmatch(text) is None:
             unreadable[word] = text[:MAX_LOGGED_CHARACTERS] or "nothing"
@@ -56,6 +58,7 @@
         _to_number(limit, reports.ReportField.LIMIT in unreadable),
         leaving is not None and reports.ReportField.LEAVING not in unreadable,
         _to_number(rest, reports.ReportField.REST in unreadable),
+        _to_number(brittle, reports.ReportField.BRITTLE in unreadable),
         unreadable,
         tuple(name for name in headers if names.is_unsupported(name)),
     )
--- a/src/hoistmoor/relay/report_tracker.py
+++ b/src/hoistmoor/relay/report_tracker.py
@@ -79,6 +79,7 @@
         for name in report.unsupported:
             self._log_unknown_header(server, name)
         self._apply_limit(server, report, sent_at, is_success=is_success)
+        self._apply_brittleness(server, report, sent_at, is_success=is_success)
         if report.is_leaving:
             self._apply_departure(server)
         if report.rest:
@@ -211,6 +212,30 @@
                 limit_gossip.LimitChange(server, before), told=False
             )
 
+    def _apply_brittleness(
+        self,
+        server: server_lib.ServerState,
+        report: reports.ServerReport,
+        sent_at: float,
+        *,
+        is_success: bool,
+    ) -> None:
+        if reports.ReportField.BRITTLE in report.unreadable:
+            return
+        if report.brittle is not None:
+            is_news = self._fleet.record_brittle(
+                server, report.brittle, self._clock()
+            )
+        else:
+            is_news = is_success and server.brittle.record_absence(sent_at)
+        if is_news:
+            self._log_change(
+                "server_brittle",
+                server,
+                tolerance=report.brittle,
+                in_flight=server.in_flight,
+            )
+
     def _log_limit(self, news: limit_gossip.LimitChange, *, told: bool) -> None:
         """Logs a change of a limit.
 
