--- a/tests/clients/test_clients_sessions.py
+++ b/tests/clients/test_clients_sessions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
@@ -157,3 +158,33 @@
         for attempt in ("1", "2"):
             await send_get(session, backend.address, attempt)
     assertions.assert_that(backend.connections, matchers.Equals(2))
+
+
+async def test_socket_options_of_a_session_with_a_bound_on_lost_peers(
+    make_backend: Callable[..., Any],
+) -> None:
+    # On Linux, TCP_USER_TIMEOUT also decides when keep-alive probes give up.
+    # No keep-alive is on, so that a server which is silent for a second while
+    # it works keeps its connection.
+    connections: list[socket.socket] = []
+
+    async def respond(request: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(RESPONSE % (attempt_of(request), b"ab"))
+
+    backend = await make_backend(respond)
+    async with sessions.make_session(unacknowledged_timeout=2.0) as session:
+        connector: Any = session.connector
+        open_socket = connector._socket_factory
+
+        def record(address: Any) -> socket.socket:
+            connections.append(open_socket(address))
+            return connections[-1]
+
+        connector._socket_factory = record
+        await send_get(session, backend.address, "1")
+        (opened,) = connections
+        options = [
+            opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+        ]
+    assertions.assert_that(options, matchers.Equals([2000, 0]))
--- a/tests/relay/partitioned_cluster.py
+++ b/tests/relay/partitioned_cluster.py
@@ -81,6 +81,11 @@
         ip, port = self._server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
+    async def start_again(self) -> None:
+        """Starts to accept connections at the same address."""
+        ip, _, port = self.address.partition(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
     def stop(self) -> None:
         """Stops accepting connections."""
         assert self._server is not None
@@ -388,6 +393,23 @@
         for server in self.servers:
             server.may_proceed.set()
 
+    async def restart_all(self) -> None:
+        """Takes the power from all relays and servers, then starts them."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        for server in self.servers:
+            server.stop()
+        for link in self.all_links(range(len(self.links))):
+            link.inject_fault("reset")
+        for server in self.servers:
+            await server.start_again()
+        count = range(len(self.relays))
+        self.relays = list(
+            await asyncio.gather(*(self._start_relay(each) for each in count))
+        )
+
     async def until_links_work(self) -> None:
         """Waits until no host counts its links as lost."""
         await relay_cluster.until(
--- a/tests/relay/test_relay_partitioned_host.py
+++ b/tests/relay/test_relay_partitioned_host.py
@@ -157,3 +157,20 @@
         asked = {host for cut in CUT for host in cluster.forwarding_hosts(cut)}
         assertions.assert_that(asked - {SOUND[0]}, matchers.Equals(asked))
         assertions.assert_that(len(asked), matchers.GreaterThan(0))
+
+
+async def test_what_was_confirmed_holds_after_all_lose_power(
+    monkeypatch: pytest_lib.MonkeyPatch,
+) -> None:
+    async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
+        assert_all_served(await cluster.call_all(range(HOSTS), 1))
+        streams = await cluster.begin_streams(range(HOSTS))
+        await cluster.exchange_state()
+        revisions = {relay.state.revision for relay in cluster.relays}
+        await cluster.restart_all()
+        cluster.let_streams_proceed()
+        await streams
+        restarted = {relay.state.revision for relay in cluster.relays}
+        assertions.assert_that(restarted, matchers.Equals(revisions))
+        assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
+        assert_promises_kept(cluster)
