Cut relays from all servers in the soak

Each relay of the soak reaches the servers through proxies of its own, so that some or all relays can be cut from all servers, in each of three ways and beside all other faults. A check follows: from three seconds after a cut began, callers of cut relays are served while another relay is not cut and nothing else disturbs them.

--- a/tests/link_proxy.py
+++ b/tests/soak/link_proxy.py
@@ -111,6 +111,7 @@
             )
         except OSError:
             _reset(writer)
+            await self._close_while_target_is_down()
             return
         self._writers |= {writer, target_writer}
         self.connections += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import attrs
 import link_proxy
 import soak_backend
+import soak_cuts
 import soak_words
 import soak_world
 
@@ -42,6 +43,7 @@
 RECOVERY_SECONDS = 6.0  # Of the quiet phase; then requests must be served.
 DEADLINE_MS = 5000
 REVOKE_AT_FRACTION = 0.4  # Of the fault phase; then a key is revoked.
+CUT_SECONDS_RANGE = (1.0, 7.0)  # Seconds for which a relay is cut.
 CRASH_INTERVAL_RANGE = (0.5, 4.0)  # Seconds between crash requests.
 RESTART_DELAY = 0.5  # Seconds until an ended backend server is restarted.
 MAX_QUIET_CRASHES = 3  # Crash requests that may reach servers after recovery.
@@ -244,6 +246,7 @@
             self._disrupt_store,
             self._restore_older_store,
             self._kill_backend,
+            self._cut_hosts,
         ]
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() < end:
@@ -326,6 +329,28 @@
         link.inject_fault("")
         span.ended_at = time.monotonic() + 1.0
 
+    async def _cut_hosts(self) -> None:
+        """Cuts some relays from all servers, at times all of them."""
+        count = self._random.randint(1, len(self.world.relays))
+        how = self._random.choice(link_proxy.CUTS)
+        seconds = self._random.uniform(*CUT_SECONDS_RANGE)
+        relays = [
+            relay
+            for relay in self._random.sample(self.world.relays, count)
+            if self._reserve(f"links of {relay.program.name}")
+        ]
+        spans = []
+        for relay in relays:
+            spans.append(self._open_span(relay.program.name, f"cut {how}"))
+            for link in relay.server_links:
+                link.cut_off(how)
+        await asyncio.sleep(seconds)
+        for relay, span in zip(relays, spans, strict=True):
+            for link in relay.server_links:
+                await link.heal()
+            span.ended_at = time.monotonic() + 1.0
+            self._reserved.discard(f"links of {relay.program.name}")
+
     async def _disrupt_store(self) -> None:
         fault = self._random.choice(
             ["down", "silent", "slow", "lost", "forget"]
@@ -372,6 +397,9 @@
             list(self.world.declined_requests()),
             [*self.spans, *self.stops],
         )
+        violations += soak_cuts.find_violations(
+            self.calls, [*self.spans, *self.stops], len(self.world.relays)
+        )
         crashed = {name for name in runs if name.startswith("crash.")}
         late = sum(
             any(
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -146,6 +146,7 @@
         listen: ``ip:port`` for callers.
         ready: ``ip:port`` of the readiness check.
         store_link: Proxy between the relay and the store.
+        server_links: Its own proxies to the backend servers.
         in_rotation: Whether the load balancer sends requests to it.
     """
 
@@ -153,6 +154,7 @@
     listen: str
     ready: str
     store_link: link_proxy.LinkProxy
+    server_links: list[link_proxy.LinkProxy]
     in_rotation: bool = False
 
 
@@ -194,7 +196,12 @@
     @property
     def links(self) -> list[link_proxy.LinkProxy]:
         """Links to the backend servers and to the store."""
-        return [*self.backend_links, *(r.store_link for r in self.relays)]
+        own = [link for relay in self.relays for link in relay.server_links]
+        return [
+            *self.backend_links,
+            *(relay.store_link for relay in self.relays),
+            *own,
+        ]
 
     async def start(self, relays: int) -> None:
         """Starts all processes and waits until the store and relays respond."""
@@ -244,14 +251,25 @@
         }
         path = self.folder / f"relay-{number}.json"
         path.write_text(json.dumps(settings))
+        server_links = [
+            link_proxy.LinkProxy(each.listen) for each in self.backend_links
+        ]
+        for each in server_links:
+            await each.start()
+        links = self.folder / f"relay-{number}.links"
+        links.write_text(
+            json.dumps({each.target: each.listen for each in server_links})
+        )
         program = Program(
             f"relay-{number}",
-            [sys.executable, "-m", "hoistmoor.platform.main"],
+            [sys.executable, str(_DIRECTORY / "soak_relay.py"), str(links)],
             self.folder / f"relay-{number}.log",
             {"HOISTMOOR_CONFIG": str(path)},
         )
         program.start()
-        self.relays.append(RelayHost(program, listen, ready, link))
+        self.relays.append(
+            RelayHost(program, listen, ready, link, server_links)
+        )
         await self._await_response(f"http://{ready}/")
 
     async def _await_response(self, url: str) -> None:
@@ -306,3 +324,6 @@
                 program.process.wait()
         for link in self.links:
             link.close()
+        async with asyncio.timeout(START_TIMEOUT):
+            while any(link.connections for link in self.links):
+                await asyncio.sleep(0.05)
