Bound what a forwarding host does for a host that stalls or has gone

A stalled connection of the requesting host held a place until its connection closed; hosts that are gone for good were tried every two seconds by each cut host; and a question about a failed server cost the asked host four connections, also where many hosts asked at once.

--- a/src/hoistmoor/core/relay/links/forwarders.py
+++ b/src/hoistmoor/core/relay/links/forwarders.py
@@ -47,6 +47,8 @@
     SILENT = "silent"  # It could not be connected to.
 
 
+# Seconds for which a host that has gone for good is not asked, at most.
+MAX_BACKOFF = 32.0
 # Seconds for which a host is not asked again, by its latest result.
 _BACKOFFS = {
     ForwardResult.SENT: 0.0,
@@ -70,12 +72,14 @@
         in_flight: Requests of this host that it forwards.
         requests: Requests that it was asked to forward so far.
         reported: Requests that it forwards for all hosts, as it last said.
+        silences: Times in a row that it could not be connected to.
         backoff_until: Monotonic time until which it is not asked.
     """
 
     in_flight: int = 0
     requests: int = 0
     reported: int = 0
+    silences: int = 0
     backoff_until: float = float("-inf")
 
 
@@ -174,7 +178,13 @@
         state = self._state(name)
         was_usable = state.backoff_until <= now
         state.reported = reported
-        state.backoff_until = now + _BACKOFFS[result]
+        backoff = _BACKOFFS[result]
+        if result is ForwardResult.SILENT:
+            backoff = min(MAX_BACKOFF, backoff * 2.0**state.silences)
+            state.silences += 1
+        else:
+            state.silences = 0
+        state.backoff_until = now + backoff
         return was_usable and state.backoff_until > now
 
     def _state(self, name: str) -> ForwarderState:
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -31,6 +31,9 @@
 # Requests of other hosts that are forwarded at once. A host with 150 MB holds
 # about 50 KB for each of them beside its body.
 MAX_FORWARDED = 256
+# Seconds after the end of a request's time at which a stalled connection to the
+# other host is closed. The exchange with the server ends by itself before.
+STALL_MARGIN = 0.5
 NOT_SENT_STATUS = 503
 INTERRUPTED_STATUS = 502
 
@@ -95,15 +98,29 @@
             request.headers.get(forward_headers.ACCOUNT, ""),
             budget_lib.Purpose.REQUEST_BODY,
         )
+        seconds = float(request.headers[forward_headers.SECONDS])
         try:
-            server = self._find_server(request)
-            body = await self._read_body(request, holding)
-            return await self._forward(request, server, body)
+            async with asyncio.timeout(seconds + STALL_MARGIN):
+                server = self._find_server(request)
+                body = await self._read_body(request, holding)
+                return await self._forward(request, server, body)
         except _NotSentError as error:
             return self._not_sent(request, error.result)
+        except (TimeoutError, ConnectionResetError):
+            # The other host has stopped reading or sending, or has left.
+            self._count(_Result.INTERRUPTED)
+            return self._abort(request)
         finally:
             self._held.resize(holding, 0)
 
+    def _abort(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Closes the connection, which marks a response as incomplete."""
+        response = web.StreamResponse(status=INTERRUPTED_STATUS)
+        response.force_close()
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
     def _find_server(self, request: web.BaseRequest) -> server_lib.ServerState:
         """Returns the server that a request is for.
 
@@ -219,11 +236,7 @@
             raise _NotSentError(result) from error
         self._count(_Result.INTERRUPTED)
         if response is not None:
-            # An aborted connection marks the response as incomplete.
-            response.force_close()
-            if request.transport is not None:
-                request.transport.abort()
-            return response
+            return self._abort(request)
         return web.Response(
             status=INTERRUPTED_STATUS,
             headers=self._answer_headers(request, _Result.INTERRUPTED),
--- a/src/hoistmoor/relay/links/link_monitor.py
+++ b/src/hoistmoor/relay/links/link_monitor.py
@@ -17,7 +17,10 @@
     from hoistmoor.relay.peers import peer_client
 
 CHECK_INTERVAL = 0.1  # Seconds between checks of what is due.
-MAX_QUESTIONS = 2  # Questions to other hosts at each check.
+MAX_QUESTIONS = 1  # Questions to other hosts at each check.
+# Seconds for which what is known of a link answers a question about it. Many
+# hosts ask at once about a server that has failed.
+KNOWN_SECONDS = 0.25
 # Other servers that are probed to tell a failed server from a lost link.
 SAMPLE_SIZE = 3
 
@@ -114,6 +117,9 @@
         one unreachable: hosts lose their links together.
         """
         began = self._state.clock()
+        known = self._known_reason(server, began)
+        if known is not None:
+            return known
         others = self._sample_others(server)
         results = await asyncio.gather(
             self.probe(server), *(self.probe(other) for other in others)
@@ -124,6 +130,19 @@
             return _Result.UNREACHABLE
         return _Result.LINKS_LOST
 
+    def _known_reason(
+        self, server: server_lib.ServerState, now: float
+    ) -> forwarders.ForwardResult | None:
+        """Returns what the newest connections show, None if they are old."""
+        since = now - KNOWN_SECONDS
+        link = server.link
+        if link.connected_at > max(since, link.failed_at):
+            return _Result.REACHABLE
+        links = self._state.router.fleet.links
+        if link.failed_at > since and links.connected_at > link.failed_at:
+            return _Result.UNREACHABLE
+        return None
+
     def _sample_others(
         self, server: server_lib.ServerState
     ) -> list[server_lib.ServerState]:
