Judge lost links by other hosts' word only where those reach servers

Cause: the word of a single other host decided, though hosts lose the same links together; failures of links that were closed already counted as new evidence; the decision fell before the sampled servers could have answered; and a forwarding host called a server unreachable without proof of its own links.

--- a/src/hoistmoor/core/relay/links/forwarders.py
+++ b/src/hoistmoor/core/relay/links/forwarders.py
@@ -47,6 +47,9 @@
     SILENT = "silent"  # It could not be connected to.
 
 
+# Seconds before the end of its backoff at which a host that had lost its links
+# is asked again.
+RECHECK_SECONDS = 2.0
 # Seconds for which a host that has gone for good is not asked, at most.
 MAX_BACKOFF = 32.0
 # Seconds for which a host is not asked again, by its latest result.
@@ -57,7 +60,7 @@
     ForwardResult.UNREACHABLE: 0.0,
     ForwardResult.UNKNOWN_SERVER: 0.0,
     ForwardResult.BUSY: 0.25,
-    ForwardResult.LINKS_LOST: 1.0,
+    ForwardResult.LINKS_LOST: 3.0,
     ForwardResult.SILENT: 2.0,
     ForwardResult.STOPPING: 10.0,
     ForwardResult.UNSUPPORTED: 30.0,
@@ -73,6 +76,7 @@
         requests: Requests that it was asked to forward so far.
         reported: Requests that it forwards for all hosts, as it last said.
         silences: Times in a row that it could not be connected to.
+        has_lost_links: Whether it reached no server either, as it last said.
         backoff_until: Monotonic time until which it is not asked.
     """
 
@@ -80,6 +84,7 @@
     requests: int = 0
     reported: int = 0
     silences: int = 0
+    has_lost_links: bool = False
     backoff_until: float = float("-inf")
 
 
@@ -121,26 +126,41 @@
     def _is_usable(self, host: replication.Host, now: float) -> bool:
         return self._state(host.name).backoff_until <= now
 
-    def pick(
+    def due_hosts(self, now: float) -> list[replication.Host]:
+        """Returns hosts to ask whether they reach servers again.
+
+        Otherwise requests would find out.
+        """
+        due = (
+            host
+            for host in self.hosts
+            if self._state(host.name).has_lost_links
+            and self._state(host.name).backoff_until - now < RECHECK_SECONDS
+        )
+        return list(itertools.islice(due, MAX_FORWARDERS))
+
+    def pick(self, now: float) -> replication.Host | None:
+        """Returns the host to forward a request; None if there is none."""
+        usable = self.usable(now)
+        return min(usable, key=self._relative_load) if usable else None
+
+    def pick_for(
         self, link: link_lib.ServerLink, now: float
     ) -> replication.Host | None:
-        """Returns the host to forward a request to a server, None without one.
+        """Returns the host to forward a request to one server.
+
+        Other hosts may have lost the same link, so that the one which reached
+        the server is asked.
 
         Args:
             link: Link of this host to the server.
             now: Monotonic time.
         """
-        usable = self.usable(now)
-        if not usable:
-            return None
-        # Where some hosts do not reach the server, the one that did is asked.
-        if link.unreached_at > link.connected_at:
-            for host in usable:
-                if host.name == link.forwarder and link.is_reached_by_others(
-                    now
-                ):
+        if link.is_reached_by_others(now):
+            for host in self.usable(now):
+                if host.name == link.forwarder:
                     return host
-        return min(usable, key=self._relative_load)
+        return self.pick(now)
 
     def _relative_load(self, host: replication.Host) -> float:
         state = self._state(host.name)
@@ -184,6 +204,7 @@
             state.silences += 1
         else:
             state.silences = 0
+        state.has_lost_links = result is ForwardResult.LINKS_LOST
         state.backoff_until = now + backoff
         return was_usable and state.backoff_until > now
 
--- a/src/hoistmoor/core/relay/links/host_links.py
+++ b/src/hoistmoor/core/relay/links/host_links.py
@@ -29,6 +29,9 @@
 MIN_FAILED_ZONES = 2
 # Servers in other failure domains that are probed after a first failure.
 SAMPLE_SIZE = 4
+# Seconds from a first failure until the samples have connected if they can. A
+# host that is cut from some servers finds several of them closed at once.
+SETTLING_SECONDS = 0.1
 # Seconds without a new connection to any server after which one is probed. A
 # host whose requests all use open connections would not notice a partition.
 IDLE_INTERVAL = 1.0
@@ -91,7 +94,7 @@
         self._failed: dict[str, server_lib.ServerState] = {}
         self._closed: dict[str, server_lib.ServerState] = {}
         self._first_failed_at = float("-inf")
-        self._probed_at = float("-inf")
+        self._rotated_at = float("-inf")
         self._rotation = 0
 
     def is_usable(self, server: server_lib.ServerState, now: float) -> bool:
@@ -148,21 +151,37 @@
             Whether this host has just found that it has lost all links.
         """
         identity = server.entry.identity
-        server.link.record_failed(now, was_refused=was_refused)
+        is_news = server.link.record_failed(now, was_refused=was_refused)
         self._closed[identity] = server
         is_old = now - self._first_failed_at > link_lib.FAILURE_TTL
         if is_old and self.lost_since is None:
             self._failed.clear()
+        if not is_news and identity not in self._failed:
+            return None  # It says nothing about the other links.
         if not self._failed:
             self._first_failed_at = now
         self._failed[identity] = server
-        if self.lost_since is not None or not self._are_all_lost(now):
+        return self.check(now)
+
+    def check(self, now: float) -> LinksLost | None:
+        """Returns whether this host has just found all links lost."""
+        if not self._failed or self.lost_since is not None:
+            return None
+        if not self._are_all_lost(now):
             return None
         self.lost_since = now
         return LinksLost(len(self._failed), now - self.connected_at)
 
     def _are_all_lost(self, now: float) -> bool:
-        listed = [each for each in self._servers() if not each.is_gone(now)]
+        if now - self._first_failed_at < SETTLING_SECONDS:
+            return False
+        # Links that were closed before are no evidence.
+        listed = [
+            each
+            for each in self._servers()
+            if each.entry.identity in self._failed
+            or not (each.link.is_closed(now) or each.is_gone(now))
+        ]
         failed = [
             each for each in listed if each.entry.identity in self._failed
         ]
@@ -177,15 +196,11 @@
         due = self._due_probes(now)
         for server in due:
             server.link.probed_at = now
-        if due:
-            self._probed_at = now
         return due
 
     def _due_probes(self, now: float) -> list[server_lib.ServerState]:
         if self.lost_since is not None:
-            if now - self._probed_at < LOST_PROBE_INTERVAL:
-                return []
-            return self._next_in_rotation(LOST_PROBES)
+            return self._rotate(LOST_PROBE_INTERVAL, LOST_PROBES, now)
         self._forget_unlisted()
         closed = [
             each
@@ -194,9 +209,9 @@
         ]
         closed.sort(key=lambda each: each.link.probed_at)
         due = closed[:MAX_PROBES] + self._due_samples(now)
-        if due or now - max(self.connected_at, self._probed_at) < IDLE_INTERVAL:
-            return due
-        return self._next_in_rotation(1)
+        if now - self.connected_at >= IDLE_INTERVAL:
+            due += self._rotate(IDLE_INTERVAL, 1, now)
+        return due
 
     def _forget_unlisted(self) -> None:
         """Forgets closed links to servers that are not listed any more."""
@@ -223,10 +238,14 @@
         missing = SAMPLE_SIZE + 1 - len(self._failed)
         return fresh[: max(0, missing)]
 
-    def _next_in_rotation(self, count: int) -> list[server_lib.ServerState]:
+    def _rotate(
+        self, interval: float, count: int, now: float
+    ) -> list[server_lib.ServerState]:
+        """Returns the next servers in turn, once in an interval in seconds."""
         servers = list(self._servers())
-        if not servers:
+        if not servers or now - self._rotated_at < interval:
             return []
+        self._rotated_at = now
         start = self._rotation % len(servers)
         self._rotation += count
         return [*servers[start:], *servers[:start]][:count]
--- a/src/hoistmoor/core/relay/links/link.py
+++ b/src/hoistmoor/core/relay/links/link.py
@@ -16,6 +16,9 @@
 # Seconds for which the word of another host about a server holds. It is asked
 # again once a second.
 EVIDENCE_TTL = 2.5
+# Seconds for which the word of a host that reached a server counts for more
+# than that of hosts which did not. They are asked at the same time.
+PRECEDENCE_SECONDS = 1.0
 # Seconds between two probes of a closed link: after the first failure, and at
 # most. A server that was silent for a moment is used again within a second.
 FIRST_PROBE_INTERVAL = 0.25
@@ -105,8 +108,13 @@
         return is_news
 
     def record_unreached(self, now: float) -> None:
-        """Records that another host, whose links work, did not reach it."""
-        self.unreached_at = now
+        """Records that another host, whose links work, did not reach it.
+
+        One that has just reached it counts for more: hosts may lose the same
+        link together.
+        """
+        if now - self.reached_at >= PRECEDENCE_SECONDS:
+            self.unreached_at = now
 
     def is_closed(self, now: float) -> bool:
         """Returns whether new connections fail."""
--- a/src/hoistmoor/core/relay/links/reachability.py
+++ b/src/hoistmoor/core/relay/links/reachability.py
@@ -71,4 +71,6 @@
         """Returns the host to send a request through; None to send directly."""
         if self.links.is_usable(server, now):
             return None
-        return self.forwarders.pick(server.link, now)
+        if self.links.lost_since is not None:
+            return self.forwarders.pick(now)
+        return self.forwarders.pick_for(server.link, now)
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -27,23 +27,18 @@
     _State.UNSENT: response_times.AttemptOutcome.UNREACHABLE,
     _State.SENT: response_times.AttemptOutcome.SILENT,
 }
-# Another host did not send the request; by default the way to it is to blame.
-_FORWARD_OUTCOMES = {
-    **dict.fromkeys(
-        (
-            forwarders.ForwardResult.LINKS_LOST,
-            forwarders.ForwardResult.BUSY,
-            forwarders.ForwardResult.STOPPING,
-            forwarders.ForwardResult.UNKNOWN_SERVER,
-            forwarders.ForwardResult.UNSUPPORTED,
-            forwarders.ForwardResult.SILENT,
-        ),
-        response_times.AttemptOutcome.NOT_FORWARDED,
-    ),
-    forwarders.ForwardResult.UNREACHABLE: (
-        response_times.AttemptOutcome.UNREACHABLE
-    ),
-}
+# Another host did not send the request.
+_NOT_FORWARDED = frozenset(
+    {
+        forwarders.ForwardResult.UNREACHABLE,
+        forwarders.ForwardResult.LINKS_LOST,
+        forwarders.ForwardResult.BUSY,
+        forwarders.ForwardResult.STOPPING,
+        forwarders.ForwardResult.UNKNOWN_SERVER,
+        forwarders.ForwardResult.UNSUPPORTED,
+        forwarders.ForwardResult.SILENT,
+    }
+)
 # States in which a lost link can leave an attempt.
 _CUT_STATES = frozenset({_State.SENDING, _State.SENT, _State.ANSWERING})
 _MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
@@ -88,6 +83,7 @@
             attempt; None if there is none, or it has not said.
         was_refused: Whether the connection was refused.
         forwarder_load: Requests that the forwarding host forwards.
+        is_reached_by_others: Whether some other host reached the server.
         is_link_lost: Whether the attempt failed while this host could not
             connect to the server, so that the server is not to blame.
         notices: The server's notices against new requests at the time of the
@@ -112,6 +108,7 @@
     is_link_lost: bool = False
     was_refused: bool = False
     forwarder_load: int = 0
+    is_reached_by_others: bool = False
     notices: dict[str, str] = attrs.field(factory=dict)
     load: float = 0.0
 
@@ -149,8 +146,12 @@
         """
         if self.is_dropped:
             return response_times.AttemptOutcome.WELL
-        if self.forward_result in _FORWARD_OUTCOMES:
-            return _FORWARD_OUTCOMES[self.forward_result]
+        if self.was_not_forwarded:
+            return (
+                response_times.AttemptOutcome.NOT_FORWARDED
+                if self.may_use_server
+                else response_times.AttemptOutcome.UNREACHABLE
+            )
         if state is _State.DECLINED and self.status in replaced:
             return response_times.AttemptOutcome.REPLACED
         if self.requests_rest:
@@ -175,14 +176,14 @@
     @property
     def was_not_forwarded(self) -> bool:
         """Whether another host did not send the request on."""
-        return self.forward_result in _FORWARD_OUTCOMES
+        return self.forward_result in _NOT_FORWARDED
 
     @property
     def may_use_server(self) -> bool:
         """Whether another attempt may use the same server."""
-        return (
-            self.was_not_forwarded
-            and self.forward_result is not forwarders.ForwardResult.UNREACHABLE
+        return self.was_not_forwarded and (
+            self.forward_result is not forwarders.ForwardResult.UNREACHABLE
+            or self.is_reached_by_others
         )
 
     def measure(
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -268,6 +268,9 @@
         self._state.links.record_answer(
             attempt.send.server, forwarder.name, result, attempt.forwarder_load
         )
+        attempt.is_reached_by_others = (
+            attempt.send.server.link.is_reached_by_others(self._now())
+        )
         return _State.UNSENT if attempt.was_not_forwarded else state
 
     def _open_attempt(self, send: messages.Send) -> attempt_lib.Attempt:
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -101,7 +101,7 @@
         seconds = float(request.headers[forward_headers.SECONDS])
         try:
             async with asyncio.timeout(seconds + STALL_MARGIN):
-                server = self._find_server(request)
+                server = await self._find_server(request)
                 body = await self._read_body(request, holding)
                 return await self._forward(request, server, body)
         except _NotSentError as error:
@@ -121,7 +121,9 @@
             request.transport.abort()
         return response
 
-    def _find_server(self, request: web.BaseRequest) -> server_lib.ServerState:
+    async def _find_server(
+        self, request: web.BaseRequest
+    ) -> server_lib.ServerState:
         """Returns the server that a request is for.
 
         Raises:
@@ -139,7 +141,10 @@
         if fleet.links.lost_since is not None:
             raise _NotSentError(_Result.LINKS_LOST)
         if server.link.is_closed(state.clock()):
-            raise _NotSentError(_Result.UNREACHABLE)
+            # Hosts lose their links together, and may not know it yet.
+            result = await self._monitor.diagnose(server)
+            if result is not _Result.REACHABLE:
+                raise _NotSentError(result)
         return server
 
     async def _read_body(
--- a/src/hoistmoor/relay/links/link_monitor.py
+++ b/src/hoistmoor/relay/links/link_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from hoistmoor.core.relay.links import forwarders
@@ -12,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from hoistmoor.core.relay.beliefs import replication
     from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.peers import peer_client
@@ -47,13 +49,38 @@
     async def run(self) -> None:
         """Probes and asks until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            await self._pause()
             now = self._state.clock()
             links = self._state.router.fleet.links
+            self._state.links.check()
             for server in links.due_probes(now):
                 self._start_probe(server)
             for server in links.due_questions(now, MAX_QUESTIONS):
                 self._start_question(self._ask_about(server))
+            if links.lost_since is not None:
+                self._recheck_forwarders(now)
+
+    async def _pause(self) -> None:
+        """Waits until the next check, or until a link closes."""
+        has_closed = self._state.links.has_closed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_INTERVAL):
+                await has_closed.wait()
+        has_closed.clear()
+
+    def _recheck_forwarders(self, now: float) -> None:
+        """Asks hosts that had lost their links whether they have them again."""
+        fleet = self._state.router.fleet
+        server = next(iter(fleet), None)
+        if server is None or self._questions:
+            return
+        for host in fleet.forwarders.due_hosts(now):
+            self._start_question(self._recheck(host, server))
+
+    async def _recheck(
+        self, host: replication.Host, server: server_lib.ServerState
+    ) -> None:
+        await self._ask(host, server)
 
     async def probe(
         self, server: server_lib.ServerState
@@ -93,21 +120,32 @@
     async def ask_others(
         self, server: server_lib.ServerState
     ) -> forwarders.ForwardResult | None:
-        """Asks another host whether it reaches a server.
+        """Asks some other hosts at once whether they reach a server.
+
+        Several hosts may have lost the same link, so that one which reaches the
+        server counts for more than all that do not.
 
         Returns:
             ``REACHABLE`` or ``UNREACHABLE``; None if no host could tell.
         """
-        selector = self._state.router.fleet.forwarders
-        for host in selector.usable(self._state.clock()):
-            result = await self._client.ask_whether_reachable(
-                host, server.entry.identity
-            )
-            self._state.links.record_answer(server, host.name, result)
-            if result in (_Result.REACHABLE, _Result.UNREACHABLE):
+        hosts = self._state.router.fleet.forwarders.usable(self._state.clock())
+        results = await asyncio.gather(
+            *(self._ask(host, server) for host in hosts)
+        )
+        for result in (_Result.REACHABLE, _Result.UNREACHABLE):
+            if result in results:
                 return result
         return None
 
+    async def _ask(
+        self, host: replication.Host, server: server_lib.ServerState
+    ) -> forwarders.ForwardResult:
+        result = await self._client.ask_whether_reachable(
+            host, server.entry.identity
+        )
+        self._state.links.record_answer(server, host.name, result)
+        return result
+
     async def diagnose(
         self, server: server_lib.ServerState
     ) -> forwarders.ForwardResult:
--- a/src/hoistmoor/relay/links/link_tracker.py
+++ b/src/hoistmoor/relay/links/link_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hoistmoor.core.relay.links import host_links
     from hoistmoor.core.relay.servers import fleet as fleet_lib
     from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.relay import metrics as metrics_lib
@@ -19,7 +21,11 @@
 
 
 class LinkTracker:
-    """Updates the state of links from connections and from other hosts."""
+    """Updates the state of links from connections and from other hosts.
+
+    Attributes:
+        has_closed: Set when a link has closed, so that others are probed.
+    """
 
     def __init__(
         self,
@@ -41,6 +47,7 @@
         self._clock = clock
         self._log_change = log_change
         self._counters = counters
+        self.has_closed = asyncio.Event()
 
     def record_probe(
         self, server: server_lib.ServerState, result: link_lib.ProbeResult
@@ -78,15 +85,25 @@
         now = self._clock()
         link = server.link
         if not link.failures:
+            self.has_closed.set()
             self._log(
                 server,
                 "link_closed",
                 refused=was_refused,
                 connected_ago=_rounded(now - link.connected_at),
             )
-        lost = self._fleet.links.record_failed(
-            server, now, was_refused=was_refused
+        self._apply_loss(
+            self._fleet.links.record_failed(
+                server, now, was_refused=was_refused
+            )
         )
+
+    def check(self) -> None:
+        """Concludes whether all links are lost, once samples had time."""
+        self._apply_loss(self._fleet.links.check(self._clock()))
+
+    def _apply_loss(self, lost: host_links.LinksLost | None) -> None:
+        now = self._clock()
         if lost is None:
             return
         self._counters.links_lost.set(1)
--- a/tests/core/relay/links/test_relay_forwarders.py
+++ b/tests/core/relay/links/test_relay_forwarders.py
@@ -41,7 +41,7 @@
             name = relay_parts.make_host(number).name
             selector.record_result(name, Result.LINKS_LOST, NOW)
         for _ in range(20):
-            host = selector.pick(link_lib.ServerLink(), NOW)
+            host = selector.pick(NOW)
             assert host is not None
             assertions.assert_that(host.zone, matchers.NotEquals("z0"))
             selector.record_sent(host.name)
@@ -54,10 +54,10 @@
 
 def test_a_host_that_reports_many_forwarded_requests_is_spared() -> None:
     selector = make_forwarders(0, 7)
-    first = selector.pick(link_lib.ServerLink(), NOW)
+    first = selector.pick(NOW)
     assert first is not None
     selector.record_result(first.name, Result.SENT, NOW, reported=50)
-    second = selector.pick(link_lib.ServerLink(), NOW)
+    second = selector.pick(NOW)
     assert second is not None
     assertions.assert_that(second.name, matchers.NotEquals(first.name))
 
@@ -68,11 +68,11 @@
     last = selector.usable(NOW)[-1]
     selector.record_sent(last.name)
     link = link_lib.ServerLink()
-    assertions.assert_that(selector.pick(link, NOW), matchers.Equals(first))
+    assertions.assert_that(selector.pick_for(link, NOW), matchers.Equals(first))
     link.record_unreached(NOW)
     link.record_reached(last.name, NOW + 0.1)
     assertions.assert_that(
-        selector.pick(link, NOW + 0.2), matchers.Equals(last)
+        selector.pick_for(link, NOW + 0.2), matchers.Equals(last)
     )
 
 
--- a/tests/core/relay/links/test_relay_host_links.py
+++ b/tests/core/relay/links/test_relay_host_links.py
@@ -68,6 +68,7 @@
                 )
             else:
                 self.fleet.record_connected(server, self.now)
+        self.fleet.links.check(self.now)
         for server in self.fleet.links.due_probes(self.now):
             self.probes += 1
             is_cut = server.entry.server_id in self.cut
@@ -172,8 +173,10 @@
 
 
 def lose_links(fleet: fleet_lib.Fleet, now: float) -> None:
+    began = now - 2.0 * host_links.SETTLING_SECONDS
     for server in fleet:
-        fleet.links.record_failed(server, now, was_refused=True)
+        fleet.links.record_failed(server, began, was_refused=True)
+    fleet.links.check(now)
 
 
 def test_no_server_is_eligible_if_no_host_reaches_any() -> None:
@@ -191,7 +194,7 @@
     )
     # The other hosts are asked again soon.
     assertions.assert_that(
-        fleet.eligible("desk", NOW + 1.0), matchers.HasLength(4)
+        fleet.eligible("desk", NOW + 3.0), matchers.HasLength(4)
     )
 
 
@@ -217,3 +220,45 @@
     assertions.assert_that(
         fleet.links.is_usable(server, later), matchers.Is(True)
     )
+
+
+@pytest.mark.parametrize(("servers", "zones"), [(10, 4), (45, 6)])
+def test_a_host_cut_from_some_servers_does_not_flap(
+    servers: int, zones: int
+) -> None:
+    network = Network(make_fleet(servers, zones, hosts=7))
+    network.run(5.0)
+    network.cut = {f"s{number}" for number in range(0, servers, 2)}
+    losses = 0
+    for _ in range(300):
+        before = network.fleet.links.lost_since
+        network.step()
+        for name in network.cut:  # Requests keep the closed links closed.
+            network.fleet.servers[name].link.asked_at = network.now
+        is_lost = network.fleet.links.lost_since is not None
+        losses += is_lost and before is None
+    assertions.assert_that(losses, matchers.LessThan(2))
+
+
+def test_one_host_that_reaches_a_server_outweighs_those_that_do_not() -> None:
+    link = link_lib.ServerLink()
+    link.record_unreached(NOW)
+    link.record_reached("h1", NOW + 0.1)
+    link.record_unreached(NOW + 0.2)
+    assertions.assert_that(
+        link.is_reached_by_others(NOW + 0.3), matchers.Is(True)
+    )
+
+
+def test_lost_links_are_noticed_beside_a_dead_server() -> None:
+    network = Network(make_fleet(45, 6, hosts=7))
+    network.cut = {"s0"}
+    network.fleet.links.record_failed(
+        network.fleet.servers["s0"], network.now, was_refused=True
+    )
+    network.run(5.0)
+    network.cut = set(network.fleet.servers)
+    network.run(STABLE_SECONDS - 0.5)
+    assertions.assert_that(
+        network.fleet.links.lost_since, matchers.Not(matchers.Is(None))
+    )
--- a/tests/relay/partitioned_cluster.py
+++ b/tests/relay/partitioned_cluster.py
@@ -410,6 +410,16 @@
             await asyncio.gather(*(self._start_relay(each) for each in count))
         )
 
+    async def until_links_lost(self, hosts: Iterable[int]) -> None:
+        """Waits until hosts know that they have lost their links."""
+        await relay_cluster.until(
+            lambda: all(
+                self.relays[host].state.router.fleet.links.lost_since
+                is not None
+                for host in hosts
+            )
+        )
+
     async def until_links_work(self) -> None:
         """Waits until no host counts its links as lost."""
         await relay_cluster.until(
--- a/tests/relay/test_relay_partitioned_host.py
+++ b/tests/relay/test_relay_partitioned_host.py
@@ -46,9 +46,10 @@
         assert_all_served(await cluster.call_all(range(HOSTS), 2))
         cluster.cut(CUT, how)
         await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_lost(CUT)
         assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
         await cluster.heal()
-        await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_work()
         assert_all_served(await cluster.call_all(range(HOSTS), ROUNDS))
         assert_promises_kept(cluster)
 
@@ -83,6 +84,8 @@
         assert_all_served(await cluster.call_all(range(HOSTS), 1))
         cluster.cut(range(HOSTS), how)
         await cluster.call_all(range(HOSTS), SETTLING_ROUNDS)
+        await cluster.until_links_lost(range(HOSTS))
+        await cluster.call_all(range(HOSTS), SETTLING_ROUNDS)
         before = cluster.attempts()
         refused = await cluster.call_all(range(HOSTS), ROUNDS)
         assertions.assert_that(
@@ -126,6 +129,7 @@
     async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
         cluster.cut(CUT, link_proxy.RESET)
         await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_lost(CUT)
         streams = await cluster.begin_streams([CUT[0]])
         streams.cancel()
         await cluster.until_closed(1)
@@ -137,6 +141,7 @@
     async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
         cluster.cut(CUT, link_proxy.RESET)
         await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_lost(CUT)
         streams = await cluster.begin_streams([CUT[0]])
         (host,) = cluster.busy_forwarding_hosts(CUT[0])
         await cluster.stop_relay(host)
@@ -153,6 +158,7 @@
             cluster.mark_as_older(relay, SOUND[0])
         cluster.cut(CUT, link_proxy.RESET)
         await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_lost(CUT)
         assert_all_served(await cluster.call_all(CUT, ROUNDS))
         asked = {host for cut in CUT for host in cluster.forwarding_hosts(cut)}
         assertions.assert_that(asked - {SOUND[0]}, matchers.Equals(asked))
--- a/tests/soak/link_proxy.py
+++ b/tests/soak/link_proxy.py
@@ -49,9 +49,10 @@
 
     async def start(self) -> None:
         """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        ip, port = self._server.sockets[0].getsockname()
+        listener = _bind("127.0.0.1:0")
+        ip, port = listener.getsockname()
         self.listen = f"{ip}:{port}"
+        self._server = await asyncio.start_server(self._serve, sock=listener)
 
     def inject_fault(self, fault: str) -> None:
         """Sets the active fault.
@@ -69,6 +70,7 @@
         self._stop_listening()
         if how == HANG:
             self.fault = _SILENT
+            self._free_port()
             self._blockers = _open_full_listener(self.listen)
         elif how == RESET:
             self.inject_fault(_RESET)
@@ -77,9 +79,6 @@
         """Restores a link that was cut; bytes that were held back arrive."""
         self.cut = ""
         self.fault = _NO_FAULT
-        for blocker in self._blockers:
-            blocker.close()
-        self._blockers.clear()
         if await self._is_target_up():
             await self._listen_again()
         else:
@@ -88,16 +87,26 @@
     def _stop_listening(self) -> None:
         if self._reopening is not None:
             self._reopening.cancel()
-        if self._server is not None:
-            self._server.close()
+        self._close_listener()
+
+    def _close_listener(self) -> None:
+        """Refuses connections, but keeps the port."""
+        if self._server is None:
+            return
+        self._server.close()
         self._server = None
+        self._blockers.append(_bind(self.listen))
+
+    def _free_port(self) -> None:
+        for blocker in self._blockers:
+            blocker.close()
+        self._blockers.clear()
 
     def close(self) -> None:
         """Stops listening and aborts all connections."""
         self.fault = _NO_FAULT
         self._stop_listening()
-        for blocker in self._blockers:
-            blocker.close()
+        self._free_port()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
@@ -154,8 +163,7 @@
         # Another connection may have stopped the listener meanwhile.
         if self._server is None or is_up:
             return
-        self._server.close()
-        self._server = None
+        self._close_listener()
         self._reopening = asyncio.create_task(self._reopen_with_target())
 
     async def _reopen_with_target(self) -> None:
@@ -164,8 +172,11 @@
         await self._listen_again()
 
     async def _listen_again(self) -> None:
-        ip, _, port = self.listen.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        if self._server is not None:
+            return
+        self._free_port()
+        listener = _bind(self.listen)
+        self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def _is_target_up(self) -> bool:
         ip, _, port = self.target.rpartition(":")
@@ -183,12 +194,19 @@
             await asyncio.sleep(0.05)
 
 
+def _bind(address: str) -> socket.socket:
+    """Returns a socket that holds an address without listening."""
+    ip, _, port = address.rpartition(":")
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((ip, int(port)))
+    return bound
+
+
 def _open_full_listener(address: str) -> list[socket.socket]:
     """Opens a listener that drops the packets which open connections."""
     ip, _, port = address.rpartition(":")
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((ip, int(port)))
+    listener = _bind(address)
     listener.listen(0)
     opened = [listener]
     for _ in range(_BACKLOG_FILLERS):
