Keep callers from setting the headers of relays

A caller's X-Relay-Question reached the forwarding host, which took the request for a question; its own request failed, no other. Found by reading; the test fails without the change.

--- a/src/hoistmoor/relay/front/forwarding.py
+++ b/src/hoistmoor/relay/front/forwarding.py
@@ -41,7 +41,11 @@
             there is none.
         now: Monotonic time.
     """
-    dropped = names.removed_from_requests | _connection_options(headers)
+    dropped = (
+        names.removed_from_requests
+        | forward_headers.ALL
+        | _connection_options(headers)
+    )
     result = CIMultiDict(
         (name, value)
         for name, value in headers.items()
--- a/tests/relay/test_relay_partitioned_host.py
+++ b/tests/relay/test_relay_partitioned_host.py
@@ -16,6 +16,8 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.relay.links import forward_headers
+
 if TYPE_CHECKING:
     import pytest as pytest_lib
 
@@ -123,6 +125,25 @@
         assert_promises_kept(cluster)
 
 
+async def test_a_caller_cannot_pose_as_a_relay(
+    monkeypatch: pytest_lib.MonkeyPatch,
+) -> None:
+    async with partitioned_cluster.open_cluster(monkeypatch, HOSTS) as cluster:
+        cluster.cut(CUT, link_proxy.RESET)
+        await cluster.call_all(CUT, SETTLING_ROUNDS)
+        await cluster.until_links_lost(CUT)
+        forged = {
+            forward_headers.QUESTION: "desk-0",
+            forward_headers.SERVER: "desk-0",
+        }
+        assert_all_served(
+            [
+                await cluster.call(host, "look", **forged)
+                for host in (CUT[0], SOUND[0])
+            ]
+        )
+
+
 async def test_a_caller_that_leaves_ends_the_run_behind_the_other_host(
     monkeypatch: pytest_lib.MonkeyPatch,
 ) -> None:
