Name paths, reports and link failures in the field's terms

Names and comments only: way becomes path, word becomes report, and what undid a server's blame says what it ends. Found on reading the change as a newcomer; no behaviour differs, and the tests of front, links and partitioned hosts pass.

--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -60,7 +60,7 @@
         asks_rest: Whether the response asks for a rest: a pause in requests to
             the server.
         may_use_server: Whether another attempt may use the same server, since
-            only the way to it failed.
+            only the path to it failed.
     """
 
     state: outcomes.ExchangeState
--- a/src/hoistmoor/core/relay/links/link.py
+++ b/src/hoistmoor/core/relay/links/link.py
@@ -13,11 +13,11 @@
 # Seconds after which a failure no longer closes the link if nothing newer is
 # known. Probes renew it several times within that time.
 FAILURE_TTL = 3.0
-# Seconds for which the word of another host about a server holds. It is asked
+# Seconds for which the report of another host on a server holds. It is asked
 # again once a second.
 EVIDENCE_TTL = 2.5
-# Seconds for which the word of a host that reached a server counts for more
-# than that of hosts which did not. They are asked at the same time.
+# Seconds for which a report that a host reached a server counts for more
+# than reports that others did not. They are asked at the same time.
 PRECEDENCE_SECONDS = 1.0
 # Seconds between two probes of a closed link: after the first failure, and at
 # most. A server that was silent for a moment is used again within a second.
--- a/src/hoistmoor/core/relay/links/reachability.py
+++ b/src/hoistmoor/core/relay/links/reachability.py
@@ -1,4 +1,4 @@
-"""Whether this host can get a request to a server, itself or through others."""
+"""Paths from this host to a server: its own link, or another host."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class Reachability:
-    """Ways from this host to the servers.
+    """Paths from this host to the servers.
 
     Attributes:
         links: This host's own links.
@@ -34,7 +34,7 @@
     def wait_while_unreachable(
         self, server: server_lib.ServerState, now: float
     ) -> float:
-        """Returns infinity while no way to a server is known, else 0."""
+        """Returns infinity while no path to a server is known, else 0."""
         if self.links.is_usable(server, now):
             return 0.0
         if server.link.is_unreached_by_others(now):
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -79,8 +79,8 @@
     return server_lib.ServerState(entry, replaced_predecessor_at=now)
 
 
-def _forgive(state: server_lib.ServerState) -> None:
-    """Undoes what a server was blamed for while only the link had failed."""
+def _discard_link_failures(state: server_lib.ServerState) -> None:
+    """Ends what a server is held back for though only the link failed."""
     state.possibly_cold_until = float("-inf")
     state.health.end_unreachable_rest(state.link.rested_until)
     state.link.rested_until = 0.0
@@ -99,7 +99,7 @@
         longest_rest: Maximum rest in seconds that a server may request.
         links: This host's own links to the servers.
         forwarders: Other hosts that may forward its requests.
-        reachability: Ways from this host to the servers.
+        reachability: Paths from this host to the servers.
     """
 
     def __init__(
@@ -259,10 +259,10 @@
             Whether this host had lost its links to all servers until now.
         """
         if state.link.failures and not state.link.was_refused:
-            _forgive(state)
+            _discard_link_failures(state)
         regained = self.links.record_connected(state, now)
         for server in regained.reopened if regained else ():
-            _forgive(server)
+            _discard_link_failures(server)
         return regained
 
     def record_brittle(
@@ -317,7 +317,7 @@
         Returns:
             Whether that was not known before.
         """
-        _forgive(state)
+        _discard_link_failures(state)
         return state.link.record_reached(forwarder, now)
 
     def next_eligibility(
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -234,9 +234,9 @@
             f" {kind} {text}" for kind, text in self.notices.items()
         )
         forwarder = self.send.forwarder
-        way = f" through {forwarder.name}" if forwarder else ""
+        path = f" through {forwarder.name}" if forwarder else ""
         return (
-            f"{entry.server_id} {entry.version} {self.send.model}{way}"
+            f"{entry.server_id} {entry.version} {self.send.model}{path}"
             f" {state.name.lower()} {self.status}"
             f" {now - self.started:.3f}s{self.latency_summary()}{notices}"
             f" {self.detail}"
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -189,7 +189,7 @@
         self._current = attempt
         try:
             state = await self._exchange_until_deadline(attempt)
-            state = await self._record_way(attempt, state)
+            state = await self._record_path(attempt, state)
             outcome = attempt.outcome(
                 state, self._links.dialect.not_run_statuses
             )
@@ -228,10 +228,10 @@
             self._now(),
         )
 
-    async def _record_way(
+    async def _record_path(
         self, attempt: attempt_lib.Attempt, state: outcomes.ExchangeState
     ) -> outcomes.ExchangeState:
-        """Records what an attempt tells about the way to its server.
+        """Records what an attempt tells about the path to its server.
 
         Returns:
             Final state of the attempt: unsent if another host that was to
--- a/src/hoistmoor/relay/links/link_monitor.py
+++ b/src/hoistmoor/relay/links/link_monitor.py
@@ -201,8 +201,8 @@
         """Returns whether a server has terminated, as far as can be known.
 
         The address of a terminated server refuses connections, but so does a
-        link that was lost. The word of a host that reaches other servers
-        decides, of this one or of another.
+        link that was lost. What a host finds that reaches other servers
+        decides, be it this host or another one.
         """
         if await self.probe(server) is not link_lib.ProbeResult.REFUSED:
             return False
