Show that a prompt part that crashes servers is never told apart

What callers saw: servers of one service crashed one after the other, and sound requests beside were cut or refused, while requests that differ each time but share one part of their prompts kept coming.

--- a/tests/relay/relay_cluster.py
+++ b/tests/relay/relay_cluster.py
@@ -1,9 +1,10 @@
 """Several real relays with engines that can crash and restart.
 
 Relays, engines and callers communicate over loopback; the store is in memory.
-An engine crashes on its own or on a request whose body contains ``CRASH``: it
-starts to respond, then resets all its connections and accepts no more. After a
-restart, it has a new id at the same address.
+An engine crashes on its own, on a request whose body contains ``CRASH`` or on a
+prompt with a part in ``crashing_parts``: it starts to respond, then resets all
+its connections and accepts no more. After a restart, it has a new id at the
+same address.
 """
 
 from __future__ import annotations
@@ -57,6 +58,7 @@
         may_proceed: Event that lets streams proceed while it is set.
         extra_headers: Additional header lines of each response.
         declines: Whether it declines all requests as not run.
+        crashing_parts: Prompt parts on which it crashes.
     """
 
     name: str
@@ -68,6 +70,7 @@
     may_proceed: asyncio.Event = attrs.field(factory=asyncio.Event)
     extra_headers: bytes = b""
     declines: bool = False
+    crashing_parts: set[bytes] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -128,7 +131,7 @@
             % (_value_of(head, b"x-request-id"), self.extra_headers)
         )
         await writer.drain()
-        if CRASH in body:
+        if CRASH in body or self.crashing_parts & _prompt_parts_of(head):
             self.crash()
             return
         self.running.append(body)
@@ -155,6 +158,11 @@
     return match[1] if match else b""
 
 
+def _prompt_parts_of(head: bytes) -> set[bytes]:
+    words = _value_of(head, b"x-prompt-parts").split(b",")
+    return {word.partition(b":")[0] for word in words}
+
+
 @attrs.define
 class Response:
     """Response received by a caller.
@@ -272,7 +280,12 @@
             )
 
     async def call(
-        self, relay: int, body: bytes, name: str = "r1", path: str = "/chat/a"
+        self,
+        relay: int,
+        body: bytes,
+        name: str = "r1",
+        path: str = "/chat/a",
+        parts: str = "a:4,b:6",
     ) -> Response:
         """Sends a request to one relay with the key of the client account."""
         headers = {
@@ -281,7 +294,7 @@
             "X-Deadline-Ms": "15000",
             "X-Model": "*",
             "X-Tokens": "10,5",
-            "X-Prompt-Parts": "a:4,b:6",
+            "X-Prompt-Parts": parts,
             "Authorization": "Bearer key1",
         }
         url = f"http://{self.relays[relay].addresses[0]}{path}"
