Log the prompt parts of requests and of runs at an ended server

Need: fingerprints tell unlike requests apart, but not what they share, so the lines could not tell requests with a common cause from repeats at servers that end for another reason. The server_ended and request lines now name the parts of the prompt that other requests may share.

Each request_quarantined line names another fingerprint, and at each end just one run had begun 0.1 s before, the others 0.0 s.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -280,7 +280,7 @@
             self.request.deadline,
             self._read_timeout(now),
             self._counts.has_arrived,
-            runs.Run(self.request.fingerprint),
+            runs.Run(self.request.fingerprint, parts=self.request.shared_parts),
             self._router.work_ahead(self.request, server, self.model, now),
             self._router.fleet.reachability.forwarder_for(server, now),
         )
--- a/src/hoistmoor/core/relay/course/requests.py
+++ b/src/hoistmoor/core/relay/course/requests.py
@@ -52,6 +52,11 @@
         """Work for an engine with an empty cache, in prompt tokens."""
         return self.tokens + TOKENS_PER_NEW_TOKEN * self.max_new_tokens
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the parts that other requests may share."""
+        return tuple(part.name for part in self.parts[:-1])
+
     @property
     def subject(self) -> str:
         """Name of the last part shared with other requests, or empty."""
@@ -95,6 +100,11 @@
     priority: int = 0
     fingerprint: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the prompt parts that other requests may share."""
+        return self.prompt.shared_parts if self.prompt else ()
+
     def work(self, model: str) -> float:
         """Returns the work for an engine with an empty cache.
 
--- a/src/hoistmoor/core/relay/servers/runs.py
+++ b/src/hoistmoor/core/relay/servers/runs.py
@@ -33,6 +33,7 @@
 
     Attributes:
         fingerprint: Fingerprint of the request.
+        parts: Prompt parts that it may share with other requests.
         stage: Its progress.
         response_started_at: Monotonic time at which the response began; None
             before.
@@ -42,6 +43,7 @@
     """
 
     fingerprint: str = ""
+    parts: tuple[str, ...] = attrs.field(default=(), kw_only=True)
     stage: Stage = Stage.WAITING
     response_started_at: float | None = None
     is_finished: bool = False
--- a/src/hoistmoor/relay/front/request_log.py
+++ b/src/hoistmoor/relay/front/request_log.py
@@ -109,6 +109,7 @@
         "request",
         id=request.request_id,
         fingerprint=request.fingerprint,
+        parts=",".join(request.shared_parts),
         route=route.name,
         service=request.service,
         account=request.account,
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -190,7 +190,7 @@
             told=told,
             runs=[
                 f"{run.fingerprint} {run.stage}"
-                f" {run.response_duration(now):.3f}s"
+                f" {run.response_duration(now):.3f}s {','.join(run.parts)}"
                 for run in server.runs.possibly_active(now)
             ],
         )
--- a/tests/relay/front/test_relay_request_line.py
+++ b/tests/relay/front/test_relay_request_line.py
@@ -14,6 +14,7 @@
 
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.placement import partition
+from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.relay.front import request_log
@@ -81,3 +82,18 @@
     assertions.assert_that(
         logged, matchers.Equals({"version": "v1", "order": 7, "phase": "trial"})
     )
+
+
+def test_prompt_parts_of_runs_are_logged_when_their_server_ends(
+    logged_state: tuple[state_lib.RelayState, int],
+) -> None:
+    state, descriptor = logged_state
+    state.router.fleet.put(relay_parts.make_entry("s0"))
+    server = state.router.fleet.servers["s0"]
+    server.runs.add(runs.Run("f1", parts=("system", "account")))
+    state.record_server_end(server)
+    (line,) = read_lines(descriptor)
+    assertions.assert_that(
+        line["runs"],
+        matchers.Equals(["f1 waiting 0.000s system,account"]),
+    )
