Refuse requests with a prompt part that crashes servers

Sound requests beside were cut or refused for seconds.

Cause: evidence was kept by the fingerprint of a request (method, host, path, account, body). What crashes servers is a property that many requests share, so each new one started with a clean record, crashed one to three servers and was forgotten. Ruled out: ends that became known too late (they were known within 0.1 s there), and load (ends follow one request each, 0.1 s after its response began).

Change: hosts tell each other the crashes, with the shared parts of the requests that had delivered nothing there, and which suspected parts they served. Parts that were served are no candidates. Of the others, those present at most crashes explain them. Requests with the cause are refused at once; parts that were always together are refused only together. A quarantine is kept in the store and ends with a served request, with the last server of the crashed versions, when its record is dropped, or after an hour; one host at a time tests it.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests
     from hoistmoor.core.relay.placement import router as router_lib
+    from hoistmoor.core.relay.servers import crashing_parts
     from hoistmoor.core.relay.servers import server as server_lib
 
 _State = outcomes.ExchangeState
@@ -98,6 +99,7 @@
         self._keeps_model = False  # Whether escalation is ruled out.
         self._excluded: frozenset[str] = frozenset()
         self._failed_versions: frozenset[str] = frozenset()
+        self._is_probe = False  # Whether it tests quarantined prompt parts.
         self._detail = ""
 
     def handle(self, event: messages.Event, now: float) -> messages.Effect:
@@ -115,9 +117,9 @@
 
     @_on.register
     def _(self, event: messages.Started, now: float) -> messages.Effect:
-        if self._needs_room:
-            return messages.Wait()
-        return self._send(now, refusals.Reason.NO_CAPACITY)
+        if not self._needs_room:
+            return self._send(now, refusals.Reason.NO_CAPACITY)
+        return self._check_quarantine(now) or messages.Wait()
 
     @_on.register
     def _(self, event: messages.RoomGranted, now: float) -> messages.Effect:
@@ -218,18 +220,38 @@
         outcome = outcomes.OUTCOME_BY_STATE[event.state]
         if outcome is not outcomes.Outcome.NOT_RUN:
             self.may_have_run = True
-        suspects = self._router.suspects
         # A request that merely happened to run on a server that ended is
         # not given up because of it.
-        is_bystander = event.server_ended and not suspects.is_likely_cause(
-            self.request.fingerprint
+        is_bystander = event.server_ended and not self._router.is_likely_cause(
+            self.request
         )
         self._counts.record(event.state, is_bystander=is_bystander)
 
-    def _is_quarantined(self, now: float) -> bool:
-        return self._router.suspects.is_quarantined(
-            self.request.fingerprint, now
+    def _check_quarantine(self, now: float) -> messages.Effect | None:
+        """Returns the refusal of a request that crashes servers, or None."""
+        fingerprint = self.request.fingerprint
+        suspects = self._router.suspects
+        if suspects.is_quarantined(fingerprint, now):
+            self._detail = "servers that ran this request have crashed"
+            left = suspects.remaining_quarantine(fingerprint, now)
+            return self._fail(refusals.Reason.CRASHES_SERVERS, math.ceil(left))
+        quarantine = self._router.part_quarantine(self.request, now)
+        if quarantine is None or self._may_probe(quarantine, now):
+            return None
+        self._detail = "servers crashed on prompt part " + ", ".join(
+            quarantine.quarantine.parts
         )
+        left = quarantine.remaining(now)
+        return self._fail(refusals.Reason.CRASHES_SERVERS, math.ceil(left))
+
+    def _may_probe(
+        self, quarantine: crashing_parts.QuarantineState, now: float
+    ) -> bool:
+        """Returns whether the request is sent once, as a test of its parts."""
+        if self.sent == 0 and self._router.claim_probe(quarantine, now):
+            self._is_probe = True
+            self._keeps_model = True  # A discarded response proves nothing.
+        return self._is_probe and self.sent == 0
 
     def _may_retry(self, state: outcomes.ExchangeState, now: float) -> bool:
         request = self.request
@@ -258,8 +280,9 @@
         self._has_begun = True
 
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
-        if self._is_quarantined(now):
-            return self._refuse_quarantined(now)
+        refusal = self._check_quarantine(now)
+        if refusal is not None:
+            return refusal
         work_class = self._router.class_of(self.request, self.model)
         server = self._router.pick(
             self.request,
@@ -311,13 +334,6 @@
             reason, self._router.retry_delay(outlook, self.request, now)
         )
 
-    def _refuse_quarantined(self, now: float) -> messages.Effect:
-        self._detail = "servers that ran this request have crashed"
-        left = self._router.suspects.remaining_quarantine(
-            self.request.fingerprint, now
-        )
-        return self._fail(refusals.Reason.CRASHES_SERVERS, math.ceil(left))
-
     def _read_timeout(self, now: float) -> float | None:
         route = self.request.route
         is_last = self._counts.runs + 1 >= route.max_attempts
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -20,6 +20,7 @@
 from hoistmoor.core.relay.placement import placement
 from hoistmoor.core.relay.placement import service_state
 from hoistmoor.core.relay.servers import brittleness
+from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import demand_totals
 from hoistmoor.core.relay.servers import eligibility
 from hoistmoor.core.relay.servers import fleet as fleet_lib
@@ -54,6 +55,7 @@
         response_times: Usual durations of responses.
         accounts: Shares of client accounts in the services.
         suspects: Requests that may crash the servers running them.
+        parts: Prompt parts that may crash the servers responding to them.
         waiting: Requests that wait for room at the servers.
         serials: Source of serials for changes sent to other hosts.
         zone: Failure domain of this host.
@@ -82,6 +84,7 @@
         self.response_times = response_times.ResponseTimes()
         self.accounts = shares_lib.AccountShares(host_name)
         self.suspects = suspects_lib.SuspectTable(serials)
+        self.parts = crashing_parts.CrashingParts(serials)
         self.waiting = waiting_rooms.WaitingRooms(
             self.fleet, draws, self.accounts.excess
         )
@@ -510,6 +513,69 @@
         self.suspects.record_end(
             server.entry.identity, server.runs.possibly_active(now), now
         )
+        self.record_crash(server, now)
+
+    def record_crash(self, server: server_lib.ServerState, now: float) -> bool:
+        """Records the runs of this host at a server that seems to have crashed.
+
+        Args:
+            server: The server.
+            now: Monotonic time.
+
+        Returns:
+            Whether a prompt part of any of them may be the cause.
+        """
+        present = server.runs.possibly_active(now)
+        return self.parts.record_crash(server, present, now)
+
+    def merge_parts(
+        self, changes: crashing_parts.PartChanges, now: float
+    ) -> None:
+        """Merges the evidence against prompt parts sent by another host.
+
+        Args:
+            changes: The evidence.
+            now: Monotonic time.
+        """
+        for server in map(self.fleet.find, self.parts.merge(changes, now)):
+            if server is not None:
+                self.record_crash(server, now)
+
+    def record_served(
+        self, request: requests.RelayRequest, send: messages.Send, now: float
+    ) -> None:
+        """Records that a server did not crash as it responded to a request."""
+        self.parts.record_served(
+            request.service,
+            send.server.entry.version,
+            request.shared_parts,
+            now,
+        )
+
+    def part_quarantine(
+        self, request: requests.RelayRequest, now: float
+    ) -> crashing_parts.QuarantineState | None:
+        """Returns the quarantine of a request's prompt parts, or None."""
+        return self.parts.quarantine_of(
+            request.service,
+            request.shared_parts,
+            self.fleet.listed_versions(request.service),
+            now,
+        )
+
+    def claim_probe(
+        self, quarantine: crashing_parts.QuarantineState, now: float
+    ) -> bool:
+        """Returns whether this host sends a refused request as a test."""
+        return self.parts.claim_probe(
+            quarantine, self.fleet.shares.is_selected, now
+        )
+
+    def is_likely_cause(self, request: requests.RelayRequest) -> bool:
+        """Returns whether a request probably caused its server's end."""
+        return self.suspects.is_likely_cause(
+            request.fingerprint
+        ) or self.parts.is_suspected(request.service, request.shared_parts)
 
     def merge_suspects(
         self, suspects: Iterable[suspect_state.Suspect], now: float
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -485,5 +485,11 @@
         usable = self.eligible(service, now, ignored)
         return {server.entry.version for server in usable}
 
+    def listed_versions(self, service: str) -> frozenset[str]:
+        """Returns the versions of all servers of a service."""
+        return frozenset(
+            server.entry.version for server in self._servers_of(service)
+        )
+
     def _servers_of(self, service: str) -> Iterable[server_lib.ServerState]:
         return self._by_service.get(service, {}).values()
--- a/src/hoistmoor/core/relay/servers/shares.py
+++ b/src/hoistmoor/core/relay/servers/shares.py
@@ -85,6 +85,10 @@
             self._quotas[key, requests] = known
         return known
 
+    def is_selected(self, key: str) -> bool:
+        """Returns whether this host is the one that all select for a key."""
+        return self.quota_for(key, 1).own > 0
+
     def equal_share(self, amount: float) -> float:
         """Returns this host's share of an amount split evenly among hosts."""
         if self.host_name not in self._hosts:
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -22,6 +22,10 @@
 # Seconds without a connection that show that none opens: nearly the timeout.
 CONNECT_EVIDENCE_SECONDS = 0.25
 
+# Seconds from the first part of a stream after which its server has not crashed
+# on the request. Servers that do crash before any part.
+SERVED_SECONDS = 0.3
+
 _OUTCOMES = {
     _State.DECLINED: response_times.AttemptOutcome.FULL,
     _State.UNSENT: response_times.AttemptOutcome.UNREACHABLE,
@@ -113,6 +117,18 @@
     is_reached_by_others: bool = False
     notices: dict[str, str] = attrs.field(factory=dict)
     load: float = 0.0
+    _is_proven: bool = False
+
+    def proves_served(self) -> bool:
+        """Returns once whether the stream has gone on for long enough.
+
+        A server that crashes on a request does so as it begins to respond.
+        """
+        if self._is_proven or self.first is None:
+            return False
+        going_on_for = self.latest_event_at - self.first
+        self._is_proven = going_on_for >= SERVED_SECONDS
+        return self._is_proven
 
     def record_events(self, now: float) -> None:
         """Records the arrival of events of the stream."""
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -208,6 +208,7 @@
             self._state.router.suspects.record_completed(
                 self._request.fingerprint, self._now()
             )
+            self._state.record_served(self._request, send)
         self._current = None
         self._record_attempt(attempt, state)
         is_late = self._now() >= self._request.deadline
@@ -474,6 +475,8 @@
         if attempt.first is None:
             self._record_delay(attempt)
         attempt.record_events(self._now())
+        if attempt.proves_served():
+            self._state.record_served(self._request, attempt.send)
         if self._answer.response is None:
             assert attempt.head is not None
             await self._answer.start(attempt.head, self._open_buffer)
--- a/src/hoistmoor/relay/front/server_end_detector.py
+++ b/src/hoistmoor/relay/front/server_end_detector.py
@@ -52,4 +52,6 @@
             return False
         if has_ended:
             self._state.record_server_end(server)
+        elif has_ended is False:
+            self._state.record_running(server)
         return bool(has_ended)
--- a/src/hoistmoor/relay/links/link_monitor.py
+++ b/src/hoistmoor/relay/links/link_monitor.py
@@ -211,6 +211,7 @@
         try:
             if await self.probe(server) is not link_lib.ProbeResult.REFUSED:
                 return False
+            self._state.record_refused(server)
             told = await others
             if told is not None:
                 return told is _Result.UNREACHABLE
--- a/src/hoistmoor/relay/metrics.py
+++ b/src/hoistmoor/relay/metrics.py
@@ -148,6 +148,12 @@
             "1 while this host reaches no server itself.",
             registry=self.registry,
         )
+        self.quarantined_parts = prometheus_client.Gauge(
+            "hoistmoor_relay_quarantined_parts",
+            "Prompt parts whose requests are refused, as servers crash on"
+            " them.",
+            registry=self.registry,
+        )
         self.link_probes = prometheus_client.Counter(
             "hoistmoor_relay_link_probes",
             "Connections that only show whether a server can be reached.",
--- a/src/hoistmoor/relay/peers/change_exchange.py
+++ b/src/hoistmoor/relay/peers/change_exchange.py
@@ -86,12 +86,14 @@
     departures, departures_until = router.fleet.departures.changes_since(
         after, now
     )
+    parts, parts_until = router.parts.changes_since(after, now)
     return peer_codec.StateChanges(
-        state.run_name,
-        suspects,
-        departures,
-        min(suspects_until, departures_until),
-        heard,
+        run_name=state.run_name,
+        suspects=suspects,
+        departures=departures,
+        parts=parts,
+        until=min(suspects_until, departures_until, parts_until),
+        heard=heard,
     )
 
 
@@ -106,4 +108,5 @@
         at: Monotonic time to which the ages in them refer.
     """
     state.merge_suspects(news.suspects)
+    state.merge_parts(news.parts)
     state.report_tracker.merge_departures(news.departures, at)
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -9,6 +9,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import replication
 from hoistmoor.core.relay.beliefs import topics as topics_lib
+from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import demand_totals
 from hoistmoor.core.relay.servers import limits as limits_lib
 from hoistmoor.core.relay.servers import outstanding
@@ -44,6 +45,7 @@
             change first; may be limited to a part.
         departures: Seconds since each leaving server announced it, by the
             identity of the server's incarnation; may be limited to a part.
+        parts: Evidence about prompt parts; may be limited to a part.
         until: Serial of the newest change that is included.
         heard: Serial of the receiving host's incarnation up to which the
             sender has all changes.
@@ -52,6 +54,9 @@
     run_name: str = ""
     suspects: tuple[suspect_state.Suspect, ...] = ()
     departures: dict[str, float] = attrs.field(factory=dict)
+    parts: crashing_parts.PartChanges = attrs.field(
+        factory=crashing_parts.PartChanges
+    )
     until: int = 0
     heard: int = 0
 
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -14,6 +15,7 @@
 from hoistmoor.core.relay.beliefs import tree_totals
 from hoistmoor.core.relay.memory import budget as budget_lib
 from hoistmoor.core.relay.placement import router as router_lib
+from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import demand_totals
 from hoistmoor.core.relay.servers import outstanding as outstanding_lib
 from hoistmoor.core.relay.servers import server as server_lib
@@ -25,6 +27,10 @@
 from hoistmoor.relay import report_tracker as report_tracker_lib
 from hoistmoor.relay.links import link_tracker
 
+if TYPE_CHECKING:
+    from hoistmoor.core.relay.course import messages
+    from hoistmoor.core.relay.course import requests
+
 
 @attrs.define(eq=False)
 class RelayState:
@@ -195,6 +201,29 @@
             ],
         )
 
+    def record_refused(self, server: server_lib.ServerState) -> None:
+        """Records that a server that cut a response refuses connections."""
+        if self.router.record_crash(server, self.clock()):
+            self.has_urgent_changes.set()
+        self.log_quarantines()
+
+    def record_running(self, server: server_lib.ServerState) -> None:
+        """Records that a server that cut a response accepts connections."""
+        self.router.parts.record_reached(server, self.clock())
+        self.log_quarantines()
+
+    def record_served(
+        self, request: requests.RelayRequest, send: messages.Send
+    ) -> None:
+        """Records that a server did not crash as it responded."""
+        self.router.record_served(request, send, self.clock())
+        self.log_quarantines()
+
+    def merge_parts(self, changes: crashing_parts.PartChanges) -> None:
+        """Merges evidence against prompt parts received from another host."""
+        self.router.merge_parts(changes, self.clock())
+        self.log_quarantines()
+
     def merge_suspects(self, told: Iterable[suspect_state.Suspect]) -> None:
         """Merges the suspected requests received from another host."""
         for server in self.router.merge_suspects(told, self.clock()):
@@ -212,6 +241,26 @@
                 **suspects.quarantine_details(fingerprint),
             )
         suspects.newly_quarantined.clear()
+        self._log_part_news()
+
+    def _log_part_news(self) -> None:
+        """Logs changes of quarantined parts and informs peers immediately."""
+        news = self.router.parts.news
+        if not news:
+            return
+        self.has_urgent_changes.set()
+        for each in news:
+            self.log_change(
+                f"part_{each.kind}",
+                service=each.service,
+                parts=list(each.parts),
+                servers=list(each.servers),
+                age=round(each.age, 3),
+                probes=each.probes,
+            )
+        news.clear()
+        quarantined = self.router.parts.quarantined(self.clock())
+        self.counters.quarantined_parts.set(len(quarantined))
 
     def collect_evidence(self) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host and of those that read through it.
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -1,8 +1,10 @@
-"""Persists quarantined requests in the store, so that restarts keep them.
+"""Persists quarantines in the store, so that restarts keep them.
 
-Hosts exchange their quarantined requests directly. So that a restart of all
-hosts does not lose them, the host that reads the store for the others also
-writes them there. A starting host copies them with the other topics.
+A record refuses one request, with its fingerprint as the key, or all requests
+of a service with some prompt parts. Hosts exchange their quarantines directly.
+So that a restart of all hosts does not lose them, the host that reads the store
+for the others also writes them there. A starting host copies them with the
+other topics.
 """
 
 from __future__ import annotations
@@ -12,6 +14,8 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay.servers import crashing_parts
+from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.relay import records
 
@@ -30,16 +34,34 @@
 _TOMBSTONE = b""
 
 
+# A quarantine of either kind, as it is stored.
+_Quarantine = suspect_state.Suspect | part_evidence.PartQuarantine
+
+
+def active_quarantines(state: state_lib.RelayState) -> dict[str, _Quarantine]:
+    """Returns the quarantines of a host by the keys of their records."""
+    now = state.clock()
+    return {
+        **state.router.suspects.quarantined(now),
+        **state.router.parts.quarantined(now),
+    }
+
+
+def _is_of_parts(key: str) -> bool:
+    """Returns whether a record refuses prompt parts, not one request."""
+    return crashing_parts.KEY_SEPARATOR in key
+
+
 class QuarantineListener:
-    """Applies the quarantined requests that are listed in the store.
+    """Applies the quarantines that are listed in the store.
 
     Attributes:
-        listed: Fingerprints that are listed in the newest era of the store.
+        listed: Keys that are listed in the newest era of the store.
     """
 
     def __init__(self, state: state_lib.RelayState) -> None:
         self.listed: set[str] = set()
-        # Fingerprints whose quarantine has ended, oldest first.
+        # Keys of quarantines that have ended, oldest first.
         self._ended: collections.deque[str] = collections.deque(
             maxlen=MAX_ENDED
         )
@@ -51,10 +73,8 @@
         if update.is_first_of_era:
             self._reset_listed(batch)
         elif batch.is_snapshot:
-            for fingerprint in self.listed - {
-                each.key for each in batch.records
-            }:
-                self._end(fingerprint)
+            for key in self.listed - {each.key for each in batch.records}:
+                self._end(key)
         for record in batch.records:
             if record.value is None:
                 self._end(record.key)
@@ -64,11 +84,8 @@
                 self._apply(record, record.value)
         return batch.records
 
-    def _has_ended(self, fingerprint: str) -> bool:
-        quarantined = self._state.router.suspects.quarantined(
-            self._state.clock()
-        )
-        return fingerprint in self._ended and fingerprint not in quarantined
+    def _has_ended(self, key: str) -> bool:
+        return key in self._ended and key not in active_quarantines(self._state)
 
     def _reset_listed(self, batch: topics.Batch) -> None:
         """Records what a newer era lists, without changing any quarantine.
@@ -82,22 +99,31 @@
 
     def _apply(self, record: topics.Record, value: bytes) -> None:
         try:
-            suspect = records.decode(value, suspect_state.Suspect)
+            if _is_of_parts(record.key):
+                told = records.decode(value, part_evidence.PartQuarantine)
+                changes = crashing_parts.PartChanges(quarantines=(told,))
+                self._state.merge_parts(changes)
+            else:
+                suspect = records.decode(value, suspect_state.Suspect)
+                self._state.merge_suspects([suspect])
         except ValueError as error:
             self._state.log_unreadable_record("quarantine", record, error)
             return
         self.listed.add(record.key)
-        self._state.merge_suspects([suspect])
 
-    def _end(self, fingerprint: str) -> None:
-        self.listed.discard(fingerprint)
-        self._ended.append(fingerprint)
-        self._state.router.suspects.forget(fingerprint)
-        self._state.log_change("quarantine_over", fingerprint=fingerprint)
+    def _end(self, key: str) -> None:
+        self.listed.discard(key)
+        self._ended.append(key)
+        router = self._state.router
+        if _is_of_parts(key):
+            router.parts.lift(key, self._state.clock())
+        else:
+            router.suspects.forget(key)
+        self._state.log_change("quarantine_over", fingerprint=key)
 
 
 class QuarantineWriter:
-    """Lists quarantined requests in the store; removes ended quarantines."""
+    """Lists quarantines in the store; removes ended ones."""
 
     def __init__(
         self,
@@ -110,8 +136,8 @@
 
         Args:
             state: Shared state of the relay.
-            topic: The topic that lists quarantined requests.
-            listener: Tracks which requests are listed.
+            topic: The topic that lists quarantines.
+            listener: Tracks which quarantines are listed.
             gate: Tells whether the store is available.
         """
         self._state = state
@@ -123,9 +149,7 @@
         """Synchronizes the list periodically until cancelled."""
         while True:
             await asyncio.sleep(POLL_INTERVAL)
-            quarantined = self._state.router.suspects.quarantined(
-                self._state.clock()
-            )
+            quarantined = active_quarantines(self._state)
             self._state.log_quarantines()
             # Only the host that reads the store writes, and only once it has
             # read the list.
@@ -139,15 +163,11 @@
                 self._state.log.write("quarantine_waits", detail=error.problem)
                 await asyncio.sleep(RETRY_DELAY)
 
-    async def _write(
-        self, quarantined: dict[str, suspect_state.Suspect]
-    ) -> None:
+    async def _write(self, quarantined: dict[str, _Quarantine]) -> None:
         listed = self._listener.listed
-        for fingerprint in quarantined.keys() - listed:
-            await self._topic.put(
-                fingerprint, records.encode(quarantined[fingerprint])
-            )
-            listed.add(fingerprint)
-        for fingerprint in listed - quarantined.keys():
-            await self._topic.put(fingerprint, _TOMBSTONE)
-            listed.discard(fingerprint)
+        for key in quarantined.keys() - listed:
+            await self._topic.put(key, records.encode(quarantined[key]))
+            listed.add(key)
+        for key in listed - quarantined.keys():
+            await self._topic.put(key, _TOMBSTONE)
+            listed.discard(key)
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -17,6 +17,8 @@
 from hoistmoor.core.relay.course import attempt_counts
 from hoistmoor.core.relay.course import machine as machine_lib
 from hoistmoor.core.relay.course import messages
+from hoistmoor.core.relay.servers import crashing_parts
+from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
@@ -382,6 +384,69 @@
     )
 
 
+def quarantine_part(
+    router: router_lib.Router, part: str, probe_age: float = 0.0
+) -> None:
+    """Reports that servers crashed on a prompt part."""
+    told = part_evidence.PartQuarantine(
+        "llm", (part,), versions=("v1",), age=probe_age, probe_age=probe_age
+    )
+    router.merge_parts(crashing_parts.PartChanges(quarantines=(told,)), NOW)
+
+
+def test_request_with_a_quarantined_part_is_refused_before_it_waits(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.put(relay_parts.make_entry("e1", service="llm"))
+    quarantine_part(router, "b")
+    request = relay_parts.make_request(relay_parts.CHAT)
+    machine = machine_lib.RelayMachine(request, router, needs_room=True)
+    refusal = get_refusal(machine.handle(messages.Started(), NOW))
+    assertions.assert_that(
+        (refusal.reason, refusal.outcome, refusal.retry_after),
+        matchers.Equals(
+            (
+                refusals.Reason.CRASHES_SERVERS,
+                outcomes.Outcome.NOT_RUN,
+                int(crashing_parts.QUARANTINE_SECONDS),
+            )
+        ),
+    )
+
+
+def test_the_last_part_of_a_prompt_is_not_quarantined(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.put(relay_parts.make_entry("e1", service="llm"))
+    quarantine_part(router, "own")
+    request = relay_parts.make_request(relay_parts.CHAT)
+    machine = machine_lib.RelayMachine(request, router)
+    assertions.assert_that(
+        machine.handle(messages.Started(), NOW),
+        matchers.IsInstance(messages.Send),
+    )
+
+
+def test_request_that_tests_a_quarantine_is_sent_once(
+    router: router_lib.Router,
+) -> None:
+    router.fleet.shares.set_hosts([router.fleet.shares.host_name])
+    router.fleet.put(relay_parts.make_entry("e1", service="llm"))
+    router.fleet.put(relay_parts.make_entry("e2", service="llm"))
+    quarantine_part(router, "b", crashing_parts.FIRST_PROBE_DELAY)
+    request = relay_parts.make_request(relay_parts.CHAT)
+    machine = machine_lib.RelayMachine(request, router, needs_room=True)
+    machine.handle(messages.Started(), NOW)
+    effect = machine.handle(messages.RoomGranted(), NOW + 0.1)
+    assertions.assert_that(effect, matchers.IsInstance(messages.Send))
+    refusal = get_refusal(
+        machine.handle(messages.AttemptEnded(State.SENT), NOW + 0.2)
+    )
+    assertions.assert_that(
+        refusal.reason, matchers.Equals(refusals.Reason.CRASHES_SERVERS)
+    )
+
+
 @pytest.mark.parametrize(
     ("ends_before", "sends"),
     [(0, 2 + attempt_counts.MAX_UNCOUNTED), (2, 2)],
--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -12,9 +12,11 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.beliefs import topics
+from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import departure_gossip
 from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.servers import serials
 from hoistmoor.relay.peers import peer_codec
 
@@ -50,6 +52,29 @@
     assertions.assert_that(received.limits, matchers.Equals(reported))
 
 
+def test_evidence_about_prompt_parts_round_trip() -> None:
+    run = part_evidence.CrashedRun("f", ("system", "bad"), has_begun=True)
+    changes = crashing_parts.PartChanges(
+        (part_evidence.ServerCrash("s0", "llm", "v1", (run,), age=0.5),),
+        (part_evidence.ServedPart("llm", "v1", "system", 0.1),),
+        (part_evidence.PartQuarantine("llm", ("bad",), ("s0",), ("v1",)),),
+    )
+    request = peer_codec.CopyRequest(
+        {}, news=peer_codec.StateChanges(parts=changes)
+    )
+    decoded = peer_codec.decode_request(peer_codec.encode(request))
+    assertions.assert_that(decoded.news.parts, matchers.Equals(changes))
+
+
+def test_hosts_of_an_earlier_version_send_no_evidence_about_parts() -> None:
+    encoded = orjson.loads(peer_codec.encode(peer_codec.CopyRequest({})))
+    del encoded["news"]["parts"]
+    decoded = peer_codec.decode_request(orjson.dumps(encoded))
+    assertions.assert_that(
+        decoded.news.parts, matchers.Equals(crashing_parts.PartChanges())
+    )
+
+
 def test_departures_are_sent_once_in_small_messages() -> None:
     departures = departure_gossip.DepartureGossip(serials.Serials())
     for number in range(100):
--- a/tests/relay/test_relay_crashing_part.py
+++ b/tests/relay/test_relay_crashing_part.py
@@ -75,18 +75,63 @@
     return answer.is_whole_stream
 
 
-@pytest.mark.parametrize("prompt", PROMPTS.values(), ids=PROMPTS)
-async def test_a_prompt_part_that_crashes_servers_is_quarantined(
-    cluster: relay_cluster.Cluster, prompt: str
-) -> None:
+async def crash_until_known(cluster: relay_cluster.Cluster, prompt: str) -> int:
+    """Sends requests until the part is known; returns how many."""
+    sound = [await call_sound(cluster, each) for each in range(3 * RELAYS)]
+    assertions.assert_that(all(sound), matchers.Is(True))
     number = 0
     while cluster.crash_count() < KNOWN_CRASHES and number < KNOWN_CRASHES:
         await call_with_part(cluster, prompt, number)
         number += 1
     await cluster.exchange_state()
+    return number
+
+
+@pytest.mark.parametrize("prompt", PROMPTS.values(), ids=PROMPTS)
+async def test_a_prompt_part_that_crashes_servers_is_quarantined(
+    cluster: relay_cluster.Cluster, prompt: str
+) -> None:
+    number = await crash_until_known(cluster, prompt)
     arrived = 0
     for later in range(number, number + 3 * RELAYS):
         arrived += await call_with_part(cluster, prompt, later)
     assertions.assert_that(arrived, matchers.LessThan(MAX_ATTEMPTS + 1))
-    sound = [await call_sound(cluster, each) for each in range(2 * RELAYS)]
+    sound = [await call_sound(cluster, each) for each in range(3 * RELAYS)]
     assertions.assert_that(all(sound), matchers.Is(True))
+
+
+async def test_quarantined_part_survives_restart_of_all_relays(
+    cluster: relay_cluster.Cluster,
+) -> None:
+    prompt = PROMPTS["between"]
+    number = await crash_until_known(cluster, prompt)
+    await relay_cluster.until(lambda: bool(cluster.platform.quarantine.records))
+    arrived = 0
+    for later in range(number, number + 3):
+        await cluster.restart_relays()
+        arrived += await call_with_part(cluster, prompt, later)
+    assertions.assert_that(arrived, matchers.LessThan(MAX_ATTEMPTS + 1))
+
+
+async def test_quarantine_ends_when_its_record_is_dropped(
+    cluster: relay_cluster.Cluster,
+) -> None:
+    prompt = PROMPTS["first"]
+    number = await crash_until_known(cluster, prompt)
+    topic = cluster.platform.quarantine
+    await relay_cluster.until(lambda: bool(topic.records))
+    for engine in cluster.engines:
+        engine.crashing_parts.clear()
+    keys = {each.key for each in topic.records}
+    for key in keys:
+        await topic.put(key, None)
+    await relay_cluster.until(
+        lambda: all(
+            not relay.state.router.parts.quarantined(relay.state.clock())
+            for relay in cluster.relays
+        )
+    )
+    answer = await cluster.call(
+        0, b"later", "later", "/chat/later", prompt.format(number)
+    )
+    assertions.assert_that(answer.is_whole_stream, matchers.Is(True))
