Draw prompt parts that crash servers and a hot relay in the soak

Streams carry prompts with shared parts; requests that are otherwise unlike each other have one more part, at any place, which ends each server that begins to respond. For some seconds most requests go to one relay.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,7 @@
 import soak_world
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
 CALLERS = 12
 REQUEST_INTERVAL_RANGE = (0.02, 0.2)  # Seconds, for each caller.
@@ -45,8 +45,16 @@
 REVOKE_AT_FRACTION = 0.4  # Of the fault phase; then a key is revoked.
 CUT_SECONDS_RANGE = (1.0, 7.0)  # Seconds for which a relay is cut.
 CRASH_INTERVAL_RANGE = (0.5, 4.0)  # Seconds between crash requests.
+# Seconds between requests with a prompt part that crashes servers.
+PART_INTERVAL_RANGE = (0.2, 0.8)
+# Prompts of sound requests, and of others that have one more part at any place.
+SOUND_PARTS = ("system:20", "account:10")
+HOT_RELAY_FRACTION = 0.9  # Of the requests, while one relay gets most of them.
 RESTART_DELAY = 0.5  # Seconds until an ended backend server is restarted.
-MAX_QUIET_CRASHES = 3  # Crash requests that may reach servers after recovery.
+# Requests of each kind that crash servers which may reach any after recovery.
+MAX_QUIET_CRASHES = 3
+# Prefixes of the ids of requests that crash servers.
+CRASHING = ("crash.", "part.")
 CONFIGURATION_REFUSALS = frozenset({401, 403, 404})
 NOT_EXECUTED = frozenset({408, 421, 429, 503})
 
@@ -111,6 +119,7 @@
         self._faulty = True
         self._reserved: set[str] = set()
         self.crashes = 0
+        self._hot_relay: soak_world.RelayHost | None = None
 
     async def run(self) -> list[str]:
         """Executes the run and returns the violations."""
@@ -122,6 +131,7 @@
         ]
         tasks.append(asyncio.create_task(self._revoke_key()))
         tasks.append(asyncio.create_task(self._send_crash_requests()))
+        tasks.append(asyncio.create_task(self._send_crashing_parts()))
         tasks.append(asyncio.create_task(self._restart_ended_backends()))
         await self._inject_faults()
         quiet_since = time.monotonic()
@@ -163,6 +173,24 @@
                 )
                 await self._send(session, call, relay, soak_backend.CRASH_PATH)
 
+    async def _send_crashing_parts(self) -> None:
+        """Sends requests that share only a part which crashes servers."""
+        rng = random.Random(self._random.random())
+        count = 0
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(rng.uniform(*PART_INTERVAL_RANGE))
+                count += 1
+                parts = list(SOUND_PARTS)
+                part = f"{soak_backend.CRASHING_PART}:10"
+                parts.insert(rng.randint(0, len(parts)), part)
+                relay = rng.choice(self.world.relays)
+                call = RequestRecord(
+                    f"part.{count}", "stream", "k1", 0.0, relay.listen
+                )
+                path = f"/stream/part{count}"
+                await self._send(session, call, relay, path, parts)
+
     async def _restart_ended_backends(self) -> None:
         """Restarts backend servers that crashed or exited."""
         while True:
@@ -188,6 +216,8 @@
             while True:
                 relays = [r for r in self.world.relays if r.in_rotation]
                 relay = rng.choice(relays or self.world.relays)
+                if self._hot_relay and rng.random() < HOT_RELAY_FRACTION:
+                    relay = self._hot_relay
                 count += 1
                 await self._call(session, relay, f"c{number}.{count}", rng)
                 await asyncio.sleep(rng.uniform(*REQUEST_INTERVAL_RANGE))
@@ -213,6 +243,7 @@
         call: RequestRecord,
         relay: soak_world.RelayHost,
         path: str,
+        parts: Sequence[str] = SOUND_PARTS,
     ) -> None:
         headers = {
             "Host": "soak.example",
@@ -220,6 +251,11 @@
             "Hoistmoor-Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Token {call.key}",
         }
+        if call.kind == "stream":
+            headers["Hoistmoor-Model"] = soak_backend.MODEL
+            headers["Hoistmoor-Token-Usage"] = "50,5"
+            own = f"{call.request_id}:10"
+            headers["Hoistmoor-Prefix-Hash"] = ",".join([*parts, own])
         url = f"http://{relay.listen}{path}"
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 1.0)
         try:
@@ -247,6 +283,7 @@
             self._restore_older_store,
             self._kill_backend,
             self._cut_hosts,
+            self._crowd_one_relay,
         ]
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() < end:
@@ -351,6 +388,12 @@
             span.ended_at = time.monotonic() + 1.0
             self._reserved.discard(f"links of {relay.program.name}")
 
+    async def _crowd_one_relay(self) -> None:
+        """Sends most requests to one relay, which is no fault of it."""
+        self._hot_relay = self._random.choice(self.world.relays)
+        await asyncio.sleep(self._random.uniform(*CUT_SECONDS_RANGE))
+        self._hot_relay = None
+
     async def _disrupt_store(self) -> None:
         fault = self._random.choice(
             ["down", "silent", "slow", "lost", "forget"]
@@ -400,18 +443,20 @@
         violations += soak_cuts.find_violations(
             self.calls, [*self.spans, *self.stops], len(self.world.relays)
         )
-        crashed = {name for name in runs if name.startswith("crash.")}
-        late = sum(
-            any(
-                float(str(run["at"])) > quiet_since + RECOVERY_SECONDS
-                for run in runs[each]
-            )
-            for each in crashed
-        )
-        if late > MAX_QUIET_CRASHES:
-            violations.append(
-                f"{late} crash requests reached servers after recovery"
+        crashed = {name for name in runs if name.startswith(CRASHING)}
+        for kind in CRASHING:
+            late = sum(
+                any(
+                    float(str(run["at"])) > quiet_since + RECOVERY_SECONDS
+                    for run in runs[each]
+                )
+                for each in crashed
+                if each.startswith(kind)
             )
+            if late > MAX_QUIET_CRASHES:
+                violations.append(
+                    f"{late} {kind} requests reached servers after recovery"
+                )
         for request_id in runs.keys() - known.keys() - crashed:
             violations.append(f"{request_id} was executed and never requested")
         served = [
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -22,6 +22,9 @@
 EVENTS = 5  # Events of each stream.
 EVENT_INTERVAL = 0.04  # Seconds between two events of a stream.
 CRASH_PATH = "/stream/crash"  # Crashes the server that executes it.
+# Prompt part that crashes a server as it begins to respond.
+CRASHING_PART = "bad"
+MODEL = "m"  # Model that all servers have loaded.
 WORK_SECONDS = 0.02  # Execution time of a plain request.
 POLL_INTERVAL = 0.02  # Seconds.
 # Servers report a limit, a rest or a departure at fixed times of a cycle that
@@ -39,6 +42,7 @@
 LIMIT = "4.5"
 INVALID_LIMIT = "soon"
 
+_PARTS = "Hoistmoor-Prefix-Hash"
 _HEADERS = "Hoistmoor-Request-Id", "Hoistmoor-Tenant", "Hoistmoor-Deadline-Ms"
 
 
@@ -146,6 +150,9 @@
         )
         response.enable_chunked_encoding()
         await response.prepare(request)
+        if f"{CRASHING_PART}:" in request.headers.get(_PARTS, ""):
+            await asyncio.sleep(EVENT_INTERVAL)
+            os._exit(1)
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(EVENT_INTERVAL)
             await response.write(response_event(request_id, number))
