Show that limits do not follow the load to one crowded host

What callers see: while most new connections go to one host and all servers limit the requests of all hosts together, that host refuses two of three requests, although the servers would take twice as many as come.

Cause: each host gets an equal part of a server's limit, however many requests it has. Cold and brittle servers are divided alike (by reading).

--- a/tests/relay/engine_traffic.py
+++ b/tests/relay/engine_traffic.py
@@ -36,6 +36,7 @@
 # deployments, and the planned size.
 SIZES = {7: (6, 35.0), 84: (60, 300.0), 360: (90, 850.0)}
 PREFIXES = 200  # Distinct prompt prefixes; enough to load all engines equally.
+CROWDED_FRACTION = 0.9  # Of the calls, while one host gets most of them.
 FIRST_PART = 0.1  # Seconds until the first part of a response.
 COMPLETION = 1.0  # Seconds until a response is complete.
 # Guarantee for a server that announces its departure: it receives no request
@@ -178,6 +179,7 @@
 
     Attributes:
         engines: The simulated engines.
+        crowded: Host that gets most calls; None if all get equally many.
         refused: Refused calls in order.
         delivered: Number of requests that were served.
     """
@@ -193,6 +195,7 @@
             rate: Requests per second of all callers together.
         """
         self.engines = [Engine(f"e{number}") for number in range(engines)]
+        self.crowded: relay_swarm.Member | None = None
         self.refused: list[RefusedCall] = []
         self.delivered = 0
         self._by_name = {each.name: each for each in self.engines}
@@ -243,6 +246,8 @@
         while True:
             await asyncio.sleep(self._draws.expovariate(self._rate))
             member = self._draws.choice(self._swarm.members)
+            if self.crowded and self._draws.random() < CROWDED_FRACTION:
+                member = self.crowded
             if member.relay is not None and member.is_serving:
                 self._start(self._serve(member))
 
