--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -559,7 +559,7 @@
         return self.parts.quarantine_of(
             request.service,
             request.shared_parts,
-            self.fleet.listed_versions(request.service),
+            self.fleet.listed_versions,
             now,
         )
 
--- a/src/hoistmoor/core/relay/servers/crashing_parts.py
+++ b/src/hoistmoor/core/relay/servers/crashing_parts.py
@@ -315,7 +315,7 @@
         self,
         service: str,
         parts: tuple[str, ...],
-        versions: frozenset[str],
+        listed_versions: Callable[[str], frozenset[str]],
         now: float,
     ) -> QuarantineState | None:
         """Returns the quarantine that refuses a request, or None.
@@ -325,18 +325,21 @@
         Args:
             service: Service of the request.
             parts: Prompt parts that it may share with others.
-            versions: Versions of the service's servers; empty if none is known.
+            listed_versions: Returns the versions of a service's servers; empty
+                if none is known.
             now: Monotonic time.
         """
         self._evaluate_settled(now)
         for state in self._quarantines.values():
             quarantine = state.quarantine
             if (
-                quarantine.service == service
-                and state.is_active(now)
-                and set(quarantine.parts) <= set(parts)
-                and (not versions or versions.intersection(quarantine.versions))
+                quarantine.service != service
+                or not state.is_active(now)
+                or not set(quarantine.parts) <= set(parts)
             ):
+                continue
+            versions = listed_versions(service)
+            if not versions or versions.intersection(quarantine.versions):
                 return state
         return None
 
@@ -562,7 +565,9 @@
     def _lift_served(
         self, service: str, version: str, parts: tuple[str, ...], now: float
     ) -> None:
-        state = self.quarantine_of(service, parts, frozenset({version}), now)
+        state = self.quarantine_of(
+            service, parts, lambda _: frozenset({version}), now
+        )
         if state is not None:
             self._lift(state, now)
 
--- a/tests/core/relay/servers/crash_simulation.py
+++ b/tests/core/relay/servers/crash_simulation.py
@@ -142,6 +142,10 @@
             if each.attempt < ATTEMPTS and not each.run.is_finished:
                 self._send(each.host, each.run, each.attempt + 1)
 
+    def versions(self, service: str) -> frozenset[str]:
+        """Returns the versions of the servers."""
+        return frozenset(each.version for each in self.servers)
+
     def restart_hosts(self, hosts: range) -> None:
         """Restarts hosts without their memory."""
         for host in hosts:
@@ -169,10 +173,9 @@
 
     def _send(self, host: int, run: runs_lib.Run, attempt: int) -> None:
         up = [each for each in self.servers if self.now >= each.up_at]
-        versions = frozenset(each.version for each in self.servers)
         table = self.tables[host]
         guilty = [part for part in run.parts if part in self.guilty]
-        if table.quarantine_of("llm", run.parts, versions, self.now):
+        if table.quarantine_of("llm", run.parts, self.versions, self.now):
             if not guilty:
                 self.refused.append(run.parts)
             return
--- a/tests/core/relay/servers/test_relay_crashing_parts.py
+++ b/tests/core/relay/servers/test_relay_crashing_parts.py
@@ -111,10 +111,12 @@
     simulation = simulate(7, 1)
     simulation.guilty["bad"] = "v1"
     simulation.advance(10.0, 33.0, [PROMPTS["first"]])
-    versions = frozenset({"v2"})
     for table in simulation.tables:
         found = table.quarantine_of(
-            "llm", PROMPTS["first"], versions, simulation.now
+            "llm",
+            PROMPTS["first"],
+            lambda _: frozenset({"v2"}),
+            simulation.now,
         )
         assertions.assert_that(found, matchers.Is(None))
 
@@ -129,13 +131,12 @@
 
 
 def test_quarantine_is_tested_by_one_host_after_a_while() -> None:
-    table = crashing_parts.CrashingParts()
     simulation = simulate(7, 1)
     simulation.guilty["bad"] = ""
     simulation.advance(10.0, 33.0, [PROMPTS["first"]])
     table = simulation.tables[0]
     quarantine = table.quarantine_of(
-        "llm", PROMPTS["first"], frozenset(), simulation.now
+        "llm", PROMPTS["first"], simulation.versions, simulation.now
     )
     assert quarantine is not None
     now = quarantine.probe_due_at
