Infer settled causes also where no request asks

A test of the command's effect failed in one of two runs beside other load: the part was not in the store yet, since a cause that settles is inferred with the next request only. The writer of the store's list now does so as well, and the test waits for the part's own record.

--- a/src/hoistmoor/core/relay/servers/crashing_parts.py
+++ b/src/hoistmoor/core/relay/servers/crashing_parts.py
@@ -383,6 +383,7 @@
         self, now: float
     ) -> dict[str, part_evidence.PartQuarantine]:
         """Returns the active quarantines by their keys."""
+        self._evaluate_settled(now)
         return {
             key: state.to_message(now)
             for key, state in self._quarantines.items()
--- a/tests/relay/test_relay_crashing_part.py
+++ b/tests/relay/test_relay_crashing_part.py
@@ -87,6 +87,13 @@
     return number
 
 
+async def until_stored(cluster: relay_cluster.Cluster) -> None:
+    """Waits until the part's quarantine is in the store."""
+    records = cluster.platform.quarantine.records
+    key = f"llm {CRASHING_PART}"
+    await relay_cluster.until(lambda: any(each.key == key for each in records))
+
+
 @pytest.mark.parametrize("prompt", PROMPTS.values(), ids=PROMPTS)
 async def test_a_prompt_part_that_crashes_servers_is_quarantined(
     cluster: relay_cluster.Cluster, prompt: str
@@ -105,7 +112,7 @@
 ) -> None:
     prompt = PROMPTS["between"]
     number = await crash_until_known(cluster, prompt)
-    await relay_cluster.until(lambda: bool(cluster.platform.quarantine.records))
+    await until_stored(cluster)
     arrived = 0
     for later in range(number, number + 3):
         await cluster.restart_relays()
@@ -118,8 +125,8 @@
 ) -> None:
     prompt = PROMPTS["first"]
     number = await crash_until_known(cluster, prompt)
+    await until_stored(cluster)
     topic = cluster.platform.quarantine
-    await relay_cluster.until(lambda: bool(topic.records))
     for engine in cluster.engines:
         engine.crashing_parts.clear()
     keys = {each.key for each in topic.records}
