Split the memory of crashing parts by job

Served parts and the states that are sent to other hosts have modules of their own; no behaviour changes.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from hoistmoor.core.relay.course import requests
     from hoistmoor.core.relay.placement import router as router_lib
-    from hoistmoor.core.relay.servers import crashing_parts
+    from hoistmoor.core.relay.servers import part_states
     from hoistmoor.core.relay.servers import server as server_lib
 
 _State = outcomes.ExchangeState
@@ -245,7 +245,7 @@
         return self._fail(refusals.Reason.CRASHES_SERVERS, math.ceil(left))
 
     def _may_probe(
-        self, quarantine: crashing_parts.QuarantineState, now: float
+        self, quarantine: part_states.QuarantineState, now: float
     ) -> bool:
         """Returns whether the request is sent once, as a test of its parts."""
         if self.sent == 0 and self._router.claim_probe(quarantine, now):
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -24,6 +24,7 @@
 from hoistmoor.core.relay.servers import demand_totals
 from hoistmoor.core.relay.servers import eligibility
 from hoistmoor.core.relay.servers import fleet as fleet_lib
+from hoistmoor.core.relay.servers import part_states
 from hoistmoor.core.relay.servers import serials as serials_lib
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import speed as speed_lib
@@ -554,7 +555,7 @@
 
     def part_quarantine(
         self, request: requests.RelayRequest, now: float
-    ) -> crashing_parts.QuarantineState | None:
+    ) -> part_states.QuarantineState | None:
         """Returns the quarantine of a request's prompt parts, or None."""
         return self.parts.quarantine_of(
             request.service,
@@ -564,7 +565,7 @@
         )
 
     def claim_probe(
-        self, quarantine: crashing_parts.QuarantineState, now: float
+        self, quarantine: part_states.QuarantineState, now: float
     ) -> bool:
         """Returns whether this host sends a refused request as a test."""
         return self.parts.claim_probe(
--- a/src/hoistmoor/core/relay/servers/crashing_parts.py
+++ b/src/hoistmoor/core/relay/servers/crashing_parts.py
@@ -16,7 +16,6 @@
 
 from __future__ import annotations
 
-import collections
 import heapq
 from typing import TYPE_CHECKING
 
@@ -24,7 +23,9 @@
 
 from hoistmoor.core.relay.servers import crash_causes
 from hoistmoor.core.relay.servers import part_evidence
+from hoistmoor.core.relay.servers import part_states
 from hoistmoor.core.relay.servers import serials as serials_lib
+from hoistmoor.core.relay.servers import served_parts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,120 +33,18 @@
     from hoistmoor.core.relay.servers import runs as runs_lib
     from hoistmoor.core.relay.servers import server as server_lib
 
-# Seconds for which a served part is no candidate. A crash may occur while a
-# service has little traffic.
-SERVED_TTL = 60.0
-# Served parts that are remembered for each version of a service: 2 MB. 10,000
-# new ones a minute pass all hosts.
-MAX_SERVED = 8192
-# Requests of any kind that must have been served lately, as without them there
-# is nothing to tell the parts of sound requests from a crashing one.
-MIN_SERVED = 3
 CRASH_TTL = 300.0  # Seconds for which a crash is stored.
 MAX_CRASHES = 64  # Crashes that are stored.
 MAX_QUARANTINES = 64
-# Separates a service and parts in the key of a quarantine. Headers do not allow
-# it in parts.
-KEY_SEPARATOR = " "
 # Changes in one message, 64 KB at most. While many servers crash, those that
 # tell which parts were served must arrive before others settle on a cause.
 MAX_PER_MESSAGE = 64
-# Seconds after the latest crash for which requests are refused.
-QUARANTINE_SECONDS = 3600.0
 # Seconds by which the ages that hosts tell of the same crash may differ.
 AGE_TOLERANCE = 2.0
-# Seconds from a crash to the first request that is sent as a test, and the
-# factor by which the next pause is longer.
-FIRST_PROBE_DELAY = 30.0
-PROBE_DELAY_FACTOR = 4.0
 # Seconds for which one host may send the test; then it is another one's turn.
 PROBE_TURN_SECONDS = 5.0
 
 
-@attrs.define(eq=False)
-class CrashState:
-    """A crash, as known to this host.
-
-    Attributes:
-        crash: What all hosts have reported.
-        at: Monotonic time of the crash.
-        learned_at: Monotonic time at which this host learned of it.
-        serial: Serial of its latest change.
-    """
-
-    crash: part_evidence.ServerCrash
-    at: float
-    learned_at: float
-    serial: int = 0
-
-    def to_message(self, now: float) -> part_evidence.ServerCrash:
-        """Returns the crash to send to other hosts."""
-        return attrs.evolve(self.crash, age=now - self.at)
-
-
-@attrs.define(eq=False)
-class ServedState:
-    """A suspected part that was served, to be sent to other hosts.
-
-    Attributes:
-        served: The part.
-        at: Monotonic time at which it was served.
-        serial: Serial of its latest change.
-    """
-
-    served: part_evidence.ServedPart
-    at: float
-    serial: int = 0
-
-    def to_message(self, now: float) -> part_evidence.ServedPart:
-        """Returns the part to send to other hosts."""
-        return attrs.evolve(self.served, age=now - self.at)
-
-
-@attrs.define(eq=False)
-class QuarantineState:
-    """A quarantine, as known to this host.
-
-    Attributes:
-        quarantine: What all hosts know of it.
-        at: Monotonic time of the latest crash.
-        probed_at: Monotonic time of the latest probe, or of that crash.
-        serial: Serial of its latest change.
-    """
-
-    quarantine: part_evidence.PartQuarantine
-    at: float
-    probed_at: float
-    serial: int = 0
-
-    def to_message(self, now: float) -> part_evidence.PartQuarantine:
-        """Returns the quarantine to send to other hosts."""
-        return attrs.evolve(
-            self.quarantine, age=now - self.at, probe_age=now - self.probed_at
-        )
-
-    def is_active(self, now: float) -> bool:
-        """Returns whether requests are refused."""
-        is_over = now - self.at > QUARANTINE_SECONDS
-        return not self.quarantine.is_lifted and not is_over
-
-    def remaining(self, now: float) -> float:
-        """Returns the seconds for which requests will be refused."""
-        return max(0.0, self.at + QUARANTINE_SECONDS - now)
-
-    @property
-    def key(self) -> str:
-        """Identifies the quarantine among all services."""
-        quarantine = self.quarantine
-        return KEY_SEPARATOR.join((quarantine.service, *quarantine.parts))
-
-    @property
-    def probe_due_at(self) -> float:
-        """Monotonic time of the next probe."""
-        factor = PROBE_DELAY_FACTOR**self.quarantine.probes
-        return self.probed_at + FIRST_PROBE_DELAY * factor
-
-
 @attrs.frozen
 class PartChanges:
     """Changes that another host lacks.
@@ -161,32 +60,15 @@
     quarantines: tuple[part_evidence.PartQuarantine, ...] = ()
 
 
-@attrs.frozen
-class PartNews:
-    """A change of what this host believes, to be logged.
-
-    Attributes:
-        kind: ``suspected``, ``quarantined``, ``probed`` or ``lifted``.
-        service: Service of the requests.
-        parts: The parts.
-        servers: Servers that crashed.
-        age: Seconds since the latest crash.
-        probes: Probes so far.
-    """
-
-    kind: str
-    service: str
-    parts: tuple[str, ...]
-    servers: tuple[str, ...]
-    age: float
-    probes: int = 0
-
-
 _SETTLE_SECONDS = (
     crash_causes.MAIN_SETTLE_SECONDS,
     crash_causes.SETTLE_SECONDS,
 )
-_State = CrashState | ServedState | QuarantineState
+_State = (
+    part_states.CrashState
+    | part_states.ServedState
+    | part_states.QuarantineState
+)
 
 
 class CrashingParts:
@@ -204,18 +86,11 @@
             serials: Source of change serials; None to use a private one.
         """
         self.serials = serials or serials_lib.Serials()
-        self.news: list[PartNews] = []
-        self._crashes: dict[str, CrashState] = {}
-        # Monotonic time at which each part was last served, by service and
-        # version; the latest is last.
-        self._served: dict[tuple[str, str], dict[str, float]] = {}
-        self._latest_served: dict[tuple[str, str], collections.deque[float]] = (
-            collections.defaultdict(
-                lambda: collections.deque(maxlen=MIN_SERVED)
-            )
-        )
-        self._told: dict[tuple[str, str, str], ServedState] = {}
-        self._quarantines: dict[str, QuarantineState] = {}
+        self.news: list[part_states.PartNews] = []
+        self._crashes: dict[str, part_states.CrashState] = {}
+        self._served = served_parts.ServedParts()
+        self._told: dict[tuple[str, str, str], part_states.ServedState] = {}
+        self._quarantines: dict[str, part_states.QuarantineState] = {}
         self._suspected: set[tuple[str, frozenset[str]]] = set()
         # Monotonic times at which crashes have been known for long enough.
         self._settles_at: list[float] = []  # A heap.
@@ -270,13 +145,7 @@
         """Records that a server responded to a request without crashing."""
         if not parts:
             return
-        self._latest_served[service, version].append(now)
-        served = self._served.setdefault((service, version), {})
-        for part in parts:
-            served.pop(part, None)
-            served[part] = now
-            if len(served) > MAX_SERVED:
-                del served[next(iter(served))]
+        self._served.record(service, version, parts, now)
         self._lift_served(service, version, parts, now)
         if any(
             service == suspected and not cause.isdisjoint(parts)
@@ -317,7 +186,7 @@
         parts: tuple[str, ...],
         listed_versions: Callable[[str], frozenset[str]],
         now: float,
-    ) -> QuarantineState | None:
+    ) -> part_states.QuarantineState | None:
         """Returns the quarantine that refuses a request, or None.
 
         It ends with the last server of the versions that crashed.
@@ -345,7 +214,7 @@
 
     def claim_probe(
         self,
-        state: QuarantineState,
+        state: part_states.QuarantineState,
         is_own_turn: Callable[[str], bool],
         now: float,
     ) -> bool:
@@ -397,8 +266,8 @@
             return
         service = state.quarantine.service
         for version in state.quarantine.versions:
-            served = self._served.setdefault((service, version), {})
-            served.update(dict.fromkeys(state.quarantine.parts, now))
+            for part in state.quarantine.parts:
+                self._served.record_part(service, version, part, now)
         self._lift(state, now)
         self._tell_served(service, now)
 
@@ -419,17 +288,17 @@
             tuple(
                 each.to_message(now)
                 for each in new
-                if isinstance(each, CrashState)
+                if isinstance(each, part_states.CrashState)
             ),
             tuple(
                 each.to_message(now)
                 for each in new
-                if isinstance(each, ServedState)
+                if isinstance(each, part_states.ServedState)
             ),
             tuple(
                 each.to_message(now)
                 for each in new
-                if isinstance(each, QuarantineState)
+                if isinstance(each, part_states.QuarantineState)
             ),
         ), until
 
@@ -452,7 +321,7 @@
     ) -> None:
         state = self._crashes.get(crash.server)
         if state is None:
-            state = CrashState(
+            state = part_states.CrashState(
                 attrs.evolve(crash, age=0.0), now - crash.age, now
             )
             self._crashes[crash.server] = state
@@ -485,12 +354,13 @@
         at = now - served.age
         key = (served.service, served.version, served.part)
         known = self._told.get(key)
-        if known is not None and at - known.at < SERVED_TTL / 2:
+        if known is not None and at - known.at < served_parts.SERVED_TTL / 2:
             return
-        self._told[key] = ServedState(attrs.evolve(served, age=0.0), at)
+        self._told[key] = part_states.ServedState(
+            attrs.evolve(served, age=0.0), at
+        )
         self._mark_changed(self._told[key])
-        by_part = self._served.setdefault(key[:2], {})
-        by_part[served.part] = max(at, by_part.get(served.part, at))
+        self._served.record_part(*key, at)
         self._lift_served(served.service, served.version, (served.part,), now)
 
     def _tell_served(self, service: str, now: float) -> None:
@@ -499,19 +369,17 @@
             crash = state.crash
             if crash.service != service:
                 continue
-            served = self._served.get((service, crash.version), {})
-            for run in crash.runs:
-                for part in run.parts:
-                    at = served.get(part)
-                    if at is not None and now - at <= SERVED_TTL:
-                        self._tell(service, crash.version, part, at)
+            for part in {part for run in crash.runs for part in run.parts}:
+                at = self._served.served_at(service, crash.version, part)
+                if now - at <= served_parts.SERVED_TTL:
+                    self._tell(service, crash.version, part, at)
         self._drop_old_served(now)
 
     def _tell(self, service: str, version: str, part: str, at: float) -> None:
         known = self._told.get((service, version, part))
-        if known is not None and at - known.at < SERVED_TTL / 2:
+        if known is not None and at - known.at < served_parts.SERVED_TTL / 2:
             return
-        state = ServedState(
+        state = part_states.ServedState(
             part_evidence.ServedPart(service, version, part), at
         )
         self._told[service, version, part] = state
@@ -519,16 +387,19 @@
 
     def _drop_old_served(self, now: float) -> None:
         for key, state in tuple(self._told.items()):
-            if now - state.at > CRASH_TTL or len(self._told) > MAX_SERVED:
+            if (
+                now - state.at > CRASH_TTL
+                or len(self._told) > served_parts.MAX_SERVED
+            ):
                 del self._told[key]
 
     def _merge_quarantine(
         self, told: part_evidence.PartQuarantine, now: float
     ) -> None:
-        if told.age > QUARANTINE_SECONDS:
+        if told.age > part_states.QUARANTINE_SECONDS:
             return
         at, probed_at = now - told.age, now - told.probe_age
-        state = QuarantineState(told, at, probed_at)
+        state = part_states.QuarantineState(told, at, probed_at)
         known = self._quarantines.get(state.key)
         if known is None:
             self._add(state, now)
@@ -554,7 +425,7 @@
             kind = "lifted" if was_active else "quarantined"
             self._report(kind, known, now)
 
-    def _add(self, state: QuarantineState, now: float) -> None:
+    def _add(self, state: part_states.QuarantineState, now: float) -> None:
         if len(self._quarantines) >= MAX_QUARANTINES:
             oldest = min(self._quarantines.values(), key=lambda each: each.at)
             del self._quarantines[oldest.key]
@@ -572,15 +443,17 @@
         if state is not None:
             self._lift(state, now)
 
-    def _lift(self, state: QuarantineState, now: float) -> None:
+    def _lift(self, state: part_states.QuarantineState, now: float) -> None:
         state.quarantine = attrs.evolve(state.quarantine, is_lifted=True)
         self._mark_changed(state)
         self._report("lifted", state, now)
 
-    def _report(self, kind: str, state: QuarantineState, now: float) -> None:
+    def _report(
+        self, kind: str, state: part_states.QuarantineState, now: float
+    ) -> None:
         quarantine = state.quarantine
         self.news.append(
-            PartNews(
+            part_states.PartNews(
                 kind,
                 quarantine.service,
                 quarantine.parts,
@@ -618,21 +491,23 @@
     ) -> bool:
         """Returns whether sound requests were served recently."""
         return any(
-            len(self._latest_served[service, version]) == MIN_SERVED
-            and now - self._latest_served[service, version][0] <= SERVED_TTL
+            self._served.has_recent(service, version, now)
             for version in self._versions_at(cause)
         )
 
-    def _candidates(self, state: CrashState, now: float) -> crash_causes.Crash:
+    def _candidates(
+        self, state: part_states.CrashState, now: float
+    ) -> crash_causes.Crash:
         """Returns a crash without the parts that were served."""
         crash = state.crash
-        served = self._served.get((crash.service, crash.version), {})
         runs = {}
         for run in crash.runs:
             parts = frozenset(
                 part
                 for part in run.parts
-                if state.at - served.get(part, float("-inf")) > SERVED_TTL
+                if not self._served.was_served(
+                    crash.service, crash.version, part, state.at
+                )
             )
             if parts:
                 runs[run.fingerprint] = parts
@@ -661,7 +536,7 @@
                 return
         servers = tuple(crash.server for crash in cause.crashes)
         self._add(
-            QuarantineState(
+            part_states.QuarantineState(
                 part_evidence.PartQuarantine(
                     service,
                     tuple(sorted(cause.parts)),
@@ -675,7 +550,10 @@
         )
 
     def _renew(
-        self, state: QuarantineState, cause: crash_causes.Cause, at: float
+        self,
+        state: part_states.QuarantineState,
+        cause: crash_causes.Cause,
+        at: float,
     ) -> None:
         """Records further crashes of quarantined parts."""
         if at <= state.at:
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -16,6 +16,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import part_evidence
+from hoistmoor.core.relay.servers import part_states
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.relay import records
 
@@ -49,7 +50,7 @@
 
 def _is_of_parts(key: str) -> bool:
     """Returns whether a record refuses prompt parts, not one request."""
-    return crashing_parts.KEY_SEPARATOR in key
+    return part_states.KEY_SEPARATOR in key
 
 
 class QuarantineListener:
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -19,6 +19,7 @@
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import part_evidence
+from hoistmoor.core.relay.servers import part_states
 from hoistmoor.core.relay.servers import runs
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects
@@ -408,7 +409,7 @@
             (
                 refusals.Reason.CRASHES_SERVERS,
                 outcomes.Outcome.NOT_RUN,
-                int(crashing_parts.QUARANTINE_SECONDS),
+                int(part_states.QUARANTINE_SECONDS),
             )
         ),
     )
@@ -433,7 +434,7 @@
     router.fleet.shares.set_hosts([router.fleet.shares.host_name])
     router.fleet.put(relay_parts.make_entry("e1", service="llm"))
     router.fleet.put(relay_parts.make_entry("e2", service="llm"))
-    quarantine_part(router, "b", crashing_parts.FIRST_PROBE_DELAY)
+    quarantine_part(router, "b", part_states.FIRST_PROBE_DELAY)
     request = relay_parts.make_request(relay_parts.CHAT)
     machine = machine_lib.RelayMachine(request, router, needs_room=True)
     machine.handle(messages.Started(), NOW)
--- a/tests/core/relay/servers/test_relay_crashing_parts.py
+++ b/tests/core/relay/servers/test_relay_crashing_parts.py
@@ -13,6 +13,7 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.servers import crashing_parts
+from hoistmoor.core.relay.servers import served_parts
 
 # Servers and sound requests per second by number of hosts.
 SIZES = {7: (6, 33.0), 60: (30, 150.0), 300: (60, 300.0)}
@@ -155,7 +156,7 @@
 
 def test_memory_is_bounded_while_many_parts_pass_by() -> None:
     table = crashing_parts.CrashingParts()
-    for number in range(2 * crashing_parts.MAX_SERVED):
+    for number in range(2 * served_parts.MAX_SERVED):
         table.record_served("llm", "v1", (f"p{number}",), 100.0)
     simulation = simulate(7, 1)
     for _ in range(2 * crashing_parts.MAX_CRASHES):
