--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -5,7 +5,8 @@
 SPEC is a JSON object: ``id``, ``service``, ``listen``, ``store`` (addresses),
 ``version``, ``slots``, ``work_s``, ``events``, ``gap_s``, ``poison`` (prompt
 parts that crash the process as it begins to answer) and ``hang`` (of how many
-of ten requests the runner never answers, from SIGUSR1 to SIGUSR2).
+of ten requests the runner never answers, from SIGUSR1 to SIGUSR2) and ``bad``
+(how many of ten requests it answers with 500 after it has run them).
 
 Every request that it begins to run is one JSON line on standard output.
 """
@@ -70,6 +71,7 @@
         self.note(
             run=request_id,
             runner=self.spec["id"],
+            version=self.spec.get("version", "v1"),
             method=request.method,
             path=request.raw_path,
             tenant=request.headers.get(TENANT, ""),
@@ -90,6 +92,9 @@
         if "Hoistmoor-Model" in request.headers:
             return await self.stream(request, request_id, headers)
         await asyncio.sleep(self.spec.get("work_s", 0.02))
+        if self.count * 7 % 10 < self.spec.get("bad", 0):
+            self.note(failed=request_id, runner=self.spec["id"])
+            return web.Response(status=500, body=b"failed\n", headers=headers)
         return web.Response(
             body=f"answer {request_id}\n".encode() * 20, headers=headers
         )
