--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -6,7 +6,8 @@
 ``version``, ``slots``, ``work_s``, ``events``, ``gap_s``, ``poison`` (prompt
 parts that crash the process as it begins to answer) and ``hang`` (of how many
 of ten requests the runner never answers, from SIGUSR1 to SIGUSR2) and ``bad``
-(how many of ten requests it answers with 500 after it has run them).
+(how many of ten requests it answers with 500 after it has run them) and
+``tells_born`` (whether its entry holds the time of its start).
 
 Every request that it begins to run is one JSON line on standard output.
 """
@@ -143,9 +144,10 @@
                     "state": "ready",
                     "warmup_left_ms": 0,
                     "sequence": sequence,
-                    "born": self.born,
                     "models": [{"name": "m", "version": 1, "adapters": []}],
                 }
+                if self.spec.get("tells_born", True):
+                    entry["born"] = self.born
                 try:
                     async with session.post(
                         url, params=query, data=json.dumps(entry)
