--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,8 +21,11 @@
 import lab as lab_lib  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SECONDS = 40.0  # Of traffic.
+EARLIER_SECONDS = 2.0  # In which the conversation's first turns are sound.
+PAUSE_SECONDS = 61.0  # Until the conversation goes on.
+SECONDS = 23.0  # Of traffic from then on.
 PLAN_INTERVAL = 0.06  # Seconds between two streaming requests of all clients.
+EARLIER_INTERVAL = 0.3  # Seconds between two questions of its first turns.
 POISON_SECONDS = 20.0  # The letter's for_s.
 POISON_EVERY = 34  # One in 34 streaming requests: under the letter's 0.03.
 TURNS = 32  # Earlier turns of the long conversation, each a part.
@@ -33,8 +36,8 @@
 MOST_ENDS = 3
 POISON = "bad0c0de"
 CONVERSATION = [
-    POISON,
     *(f"{0xC0DE0000 + turn:08x}" for turn in range(1, TURNS)),
+    POISON,
 ]
 
 
@@ -47,6 +50,8 @@
         self.lost: list[str] = []
         self.answered = 0
         self.running = True
+        # Monotonic time from which the conversation goes on.
+        self.goes_on = float("inf")
         self.tasks: set[asyncio.Task[None]] = set()
 
     def next_id(self) -> str:
@@ -81,15 +86,22 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.lab.record("no answer", id=request_id, error=repr(error))
 
+    async def converse(self) -> None:
+        """Sends sound requests of the conversation, before its bad turn."""
+        end = time.monotonic() + EARLIER_SECONDS
+        while time.monotonic() < end:
+            for relay in self.lab.relays:
+                await self.plan(relay, ["5c1e07a2", *CONVERSATION[:-1]])
+            await asyncio.sleep(EARLIER_INTERVAL)
+
     async def plans(self) -> None:
         """Sends streaming requests; a few continue the long conversation."""
-        began = time.monotonic()
         count = 0
         while self.running:
             count += 1
             relay = self.lab.relays[count % len(self.lab.relays)]
             parts = ["5c1e07a2", f"{0x91BD0000 + count % 8:08x}"]
-            in_time = time.monotonic() - began < POISON_SECONDS
+            in_time = 0.0 <= time.monotonic() - self.goes_on < POISON_SECONDS
             if in_time and count % POISON_EVERY == 0:
                 parts = ["5c1e07a2", *CONVERSATION]
             task = asyncio.create_task(self.plan(relay, parts))
@@ -175,6 +187,8 @@
     await asyncio.sleep(2.0)
     case = Case(lab)
     tasks = [asyncio.create_task(case.plans())]
+    await case.converse()
+    await asyncio.sleep(PAUSE_SECONDS)
     for relay in lab.relays:
         lab.mark_started(relay)
         program = relay["program"]
@@ -188,6 +202,8 @@
         if name.startswith("i-llm"):
             restart = case.restart(program, RUNNER_RESTART_SECONDS)
             tasks.append(asyncio.create_task(restart))
+    await asyncio.sleep(2.0)
+    case.goes_on = time.monotonic()
     await asyncio.sleep(SECONDS)
     case.running = False
     await asyncio.sleep(3.0)
