Log which background task fails, and the sizes of quarantine writes

The standard output said nothing of it; only a traceback on standard error told which line had raised. Three hypotheses could not be told apart from logs and metrics: the key of the record is too long, its value is, or a message between hosts cannot be read.

--- a/src/hoistmoor/relay/metrics.py
+++ b/src/hoistmoor/relay/metrics.py
@@ -17,6 +17,7 @@
         sends_despite_notice: Attempts sent to servers that had announced a rate
             limit, their departure or a back-off, by kind of notice.
         state_changes: State changes on this host, by kind.
+        task_failures: Unexpected errors of background tasks, by task.
         room_waits: Seconds for which requests waited for room, by service and
             result.
         durations: Seconds from a request to its final response.
@@ -67,6 +68,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.task_failures = prometheus_client.Counter(
+            "hoistmoor_relay_task_failures",
+            "Unexpected errors of background tasks.",
+            ["task"],
+            registry=self.registry,
+        )
         self.room_waits = prometheus_client.Histogram(
             "hoistmoor_relay_room_wait_seconds",
             "Seconds for which requests waited for room.",
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from hoistmoor.relay import background_tasks
 from hoistmoor.relay.front import http_handlers as http_handlers_lib
 from hoistmoor.relay.peers import request_handler as request_handler_lib
 from hoistmoor.utils import listening
@@ -69,28 +70,18 @@
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then shuts down gracefully."""
         runners = await self._listen()
-        tasks = [
-            asyncio.create_task(loop(), name=name)
-            for name, loop in self._loops.items()
-        ]
+        tasks = background_tasks.BackgroundTasks(self._state, self._loops)
+        tasks.start()
         self._state.log.write("start", listen=self._settings().listen)
         gc.collect()
         # Objects from startup live as long as the process, so the garbage
         # collector need not scan them.
         gc.freeze()
         try:
-            stopping = asyncio.create_task(stop.wait())
-            await asyncio.wait(
-                {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in tasks:
-                if task.done():
-                    task.result()
+            await tasks.wait(stop)
             await self._stop()
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await tasks.cancel()
             for runner in runners:
                 await runner.cleanup()
 
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -167,8 +167,18 @@
     async def _write(self, quarantined: dict[str, _Quarantine]) -> None:
         listed = self._listener.listed
         for key in quarantined.keys() - listed:
-            await self._topic.put(key, records.encode(quarantined[key]))
+            await self._put(key, records.encode(quarantined[key]))
             listed.add(key)
         for key in listed - quarantined.keys():
-            await self._topic.put(key, _TOMBSTONE)
+            await self._put(key, _TOMBSTONE)
             listed.discard(key)
+
+    async def _put(self, key: str, value: bytes) -> None:
+        # Logged before the write, so that a write that fails is known as well.
+        self._state.log.write(
+            "quarantine_write",
+            key=key,
+            key_bytes=len(key.encode()),
+            value_bytes=len(value),
+        )
+        await self._topic.put(key, value)
