Bound the keys of quarantines that the relays store

Cause: the key of a quarantine joined the service and all parts that were always together. Both are as long as callers and operators make them; the store's format has one byte for the length of a key. 28 parts of eight digits do not fit. The error ended the task that writes, and with it the process; the next host that read the store wrote the same key and ended, too.

Now a key that does not fit is its beginning with a digest of the whole. Keys that fit stay as they are, so that hosts of an earlier version and this one still call the same quarantine by the same name, and its records are read. A shorter list of parts was ruled out: requests with some of the parts are sound. Digests for all keys, too: a host of an earlier version would remove a record whose key it does not know, which lifts the quarantine everywhere.

The test runs the real process and store client. Before: "the relay has ended: ValueError: bytes must be in range(0, 256)" for 32 parts of 8 digits and for 4 of 64; after: the record is written once and holds after a restart.

--- a/src/hoistmoor/core/relay/servers/part_states.py
+++ b/src/hoistmoor/core/relay/servers/part_states.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.beliefs import record_keys
 from hoistmoor.core.relay.servers import part_evidence
 
 # Separates a service and parts in the key of a quarantine. Headers do not allow
@@ -93,9 +94,10 @@
 
     @property
     def key(self) -> str:
-        """Identifies the quarantine among all services."""
+        """Key of its record, which identifies it among all services."""
         quarantine = self.quarantine
-        return KEY_SEPARATOR.join((quarantine.service, *quarantine.parts))
+        names = (quarantine.service, *quarantine.parts)
+        return record_keys.bound(KEY_SEPARATOR.join(names))
 
     @property
     def probe_due_at(self) -> float:
--- /dev/null
+++ b/tests/relay/test_relay_long_keys.py
@@ -0,0 +1,64 @@
+"""Records whose keys are built from what callers and operators send.
+
+Guards against relays that end because a key does not fit the store's format.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import relay_process
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.core.relay.servers import crashing_parts
+from hoistmoor.core.relay.servers import part_evidence
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    import pathlib
+
+QUARANTINES = "keyed.relay-quarantine"
+# A conversation of 32 turns, and four ids of 64 digits.
+LONG_PARTS = {
+    "many_parts": tuple(f"{0xC0DE0000 + turn:08x}" for turn in range(32)),
+    "long_parts": tuple(f"{number:064x}" for number in range(4)),
+}
+
+
+@pytest.fixture
+async def relay(
+    tmp_path: pathlib.Path,
+) -> AsyncIterator[relay_process.RelayProcess]:
+    """A relay's process, which reads and writes the store itself."""
+    async with relay_process.open_relay(tmp_path) as opened:
+        yield opened
+
+
+def quarantine(*parts: str) -> crashing_parts.PartChanges:
+    """Returns what another host tells of quarantined parts."""
+    return crashing_parts.PartChanges(
+        quarantines=(
+            part_evidence.PartQuarantine("llm", parts, ("s1",), ("v1",)),
+        )
+    )
+
+
+@pytest.mark.parametrize("parts", LONG_PARTS.values(), ids=LONG_PARTS)
+async def test_a_quarantine_of_long_parts_does_not_end_the_relay(
+    relay: relay_process.RelayProcess, parts: tuple[str, ...]
+) -> None:
+    await relay.send_parts(quarantine(*parts))
+    await relay.until(lambda: bool(relay.newest(QUARANTINES)))
+    # A later round of writes leaves the first record as it is.
+    await relay.send_parts(quarantine("short"))
+    await relay.until(lambda: len(relay.newest(QUARANTINES)) == 2)
+    assertions.assert_that(
+        relay.store.topic(QUARANTINES).records, matchers.HasLength(2)
+    )
+    await relay.kill()
+    await relay.start()
+    answer = await relay.send_parts(crashing_parts.PartChanges())
+    told = {each.parts for each in answer.news.parts.quarantines}
+    assertions.assert_that(told, matchers.Equals({parts, ("short",)}))
