Bound the keys of phases and counts of roll-outs

What callers saw: as an operator orders a roll-out whose service and version have more than 254 bytes together, each host that reads the store ends as it writes the first phase, and again after its restart.

Cause: the class of the quarantines' keys. Names of 256 characters each are accepted from an order, while the key of a phase joins two of them in 255 bytes. The key of the answer counts joins the service and the host's run in the same way.

The listeners read service and version from the value, so records of earlier versions are read as before and theirs read these. Keys that fit are unchanged.

The test orders a roll-out to such a version, with counts of another host by which it is bad, over the real process and store client. Before: "the relay has ended: ValueError: bytes must be in range(0, 256)" for 256 characters and for 250 characters of two bytes; after: the phase and the status are written.

--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from hoistmoor.core import errors
+from hoistmoor.core.relay.beliefs import record_keys
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases as phases_lib
 from hoistmoor.core.relay.versions import progress as progress_lib
@@ -133,7 +134,8 @@
             self._evidence_listener.book.merge(evidence)
         report = rollout_codec.EvidenceReport(state.run_name, tuple(known))
         await self._topics.evidence.put(
-            f"{order.service}/{state.run_name}", rollout_codec.encode(report)
+            record_keys.bound(f"{order.service}/{state.run_name}"),
+            rollout_codec.encode(report),
         )
         self._reported[order] = answers
 
@@ -174,7 +176,7 @@
             Whether the phase was written.
         """
         put = await self._topics.phases.put(
-            f"{record.service}/{record.target}",
+            record_keys.bound(f"{record.service}/{record.target}"),
             rollout_codec.encode(record),
             self._phases.place,
         )
--- a/tests/relay/test_relay_long_keys.py
+++ b/tests/relay/test_relay_long_keys.py
@@ -14,12 +14,16 @@
 
 from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import part_evidence
+from hoistmoor.core.relay.versions import evidence as evidence_lib
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     import pathlib
 
 QUARANTINES = "keyed.relay-quarantine"
+PHASES = "keyed.rollout-phases"
+STATUS = "keyed.status"
+ROLLOUT = "rollout/desk"
 # A conversation of 32 turns, and four ids of 64 digits.
 LONG_PARTS = {
     "many_parts": tuple(f"{0xC0DE0000 + turn:08x}" for turn in range(32)),
@@ -45,6 +49,20 @@
     )
 
 
+def failing_version(number: int) -> evidence_lib.Evidence:
+    """Returns the counts of a host where a new version always fails."""
+    return evidence_lib.Evidence(
+        "desk",
+        number,
+        "other-run",
+        {
+            "once": evidence_lib.RouteEvidence(
+                evidence_lib.Tally(30, 30), evidence_lib.Tally(300)
+            )
+        },
+    )
+
+
 @pytest.mark.parametrize("parts", LONG_PARTS.values(), ids=LONG_PARTS)
 async def test_a_quarantine_of_long_parts_does_not_end_the_relay(
     relay: relay_process.RelayProcess, parts: tuple[str, ...]
@@ -62,3 +80,19 @@
     answer = await relay.send_parts(crashing_parts.PartChanges())
     told = {each.parts for each in answer.news.parts.quarantines}
     assertions.assert_that(told, matchers.Equals({parts, ("short",)}))
+
+
+@pytest.mark.parametrize("target", ["v2" * 128, "\u00e9" * 250])
+async def test_a_roll_out_to_a_version_with_a_long_name_does_not_end_the_relay(
+    relay: relay_process.RelayProcess, target: str
+) -> None:
+    relay.order("desk", target, duration=60.0)
+    await relay.until(lambda: bool(relay.lines("rollout_ordered")))
+    (ordered,) = relay.lines("rollout_ordered")
+    await relay.send_evidence(failing_version(ordered["number"]))
+    await relay.until(lambda: bool(relay.newest(PHASES)))
+    (key,) = relay.newest(PHASES)
+    assertions.assert_that(key, matchers.StartsWith("desk/"))
+    await relay.until(
+        lambda: b"reverted" in relay.newest(STATUS).get(ROLLOUT, b"")
+    )
