Refuse records that do not fit the store, and write the others

What callers saw: a quarantine that is not stored ends with the next restart of all hosts, so that its requests crash servers again; a roll-out to a bad version goes on.

Cause: the client for the store checked no length, so a key of over 255 bytes raised ValueError, and the store refused a record over its record_bytes each second, as if it were unavailable. The writers gave up a round at the first error, so that one record kept all later ones from being written.

The client now raises RecordLimitError, before it sends anything, by the sizes in the settings of the platform. The writers of quarantines and of roll-outs go on with the next record, and log the one that does not fit once. A batch of hosts' entries is also split by the size of a request. The store's stand-in reads all records of a request, and bytes rather than characters of a key.

--- a/src/hoistmoor/core/errors.py
+++ b/src/hoistmoor/core/errors.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+KEY_EXCERPT = 80  # Characters of a long key that a message quotes.
+
 
 class HoistmoorError(Exception):
     """Base class of all exceptions raised by this project.
@@ -55,6 +57,22 @@
         )
 
 
+class RecordLimitError(PlatformError):
+    """A record does not fit the format of the log, so it cannot be written.
+
+    Attributes:
+        key: Beginning of the record's key.
+    """
+
+    def __init__(self, key: str, part: str, size: int, limit: int) -> None:
+        beginning = key[:KEY_EXCERPT]
+        super().__init__(
+            f"the {part} of record {beginning!r} has {size} bytes; {limit} fit",
+            "Shorten the names from which the record is made.",
+        )
+        self.key = beginning
+
+
 class LogEraChangedError(PlatformError):
     """The log was restored from an older copy, so older offsets are invalid."""
 
--- a/src/hoistmoor/platform/main.py
+++ b/src/hoistmoor/platform/main.py
@@ -39,7 +39,9 @@
     def connect(session: aiohttp.ClientSession) -> ports.Platform:
         history = store_era_lib.StoreEra()
         return ports.Platform(
-            topics=store.open_topics(session, settings.store, history),
+            topics=store.open_topics(
+                session, settings.store, history, settings.store_limits
+            ),
             codec=codec.PlatformCodec(),
             headers=names.HEADERS,
             not_run_statuses=names.NOT_RUN_STATUSES,
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.servers import rests
+from hoistmoor.platform import store as store_lib
 from hoistmoor.relay import settings as relay_settings
 
 _MS = 1000.0
@@ -22,10 +23,12 @@
     Attributes:
         relay: Settings of the relay.
         store: ``ip:port`` of the platform's store.
+        store_limits: Sizes that the store accepts.
     """
 
     relay: relay_settings.RelaySettings
     store: str
+    store_limits: store_lib.StoreLimits = store_lib.DEFAULT_LIMITS
 
 
 def read(data: bytes) -> PlatformSettings:
@@ -72,4 +75,9 @@
         has_slow_peers="pressure" in contracts,
         is_first_start=fields.get("bootstrap", False),
     )
-    return PlatformSettings(relay, fields["platform"]["address"])
+    platform = fields["platform"]
+    limits = store_lib.StoreLimits(
+        int(platform.get("record_bytes") or store_lib.MAX_RECORD_BYTES),
+        int(platform.get("request_bytes") or store_lib.MAX_REQUEST_BYTES),
+    )
+    return PlatformSettings(relay, platform["address"], limits)
--- a/src/hoistmoor/platform/store.py
+++ b/src/hoistmoor/platform/store.py
@@ -8,10 +8,12 @@
 import struct
 from typing import Any, TYPE_CHECKING
 
+import attrs
 import orjson
 
 from hoistmoor.clients import service_client
 from hoistmoor.core import errors
+from hoistmoor.core.relay.beliefs import record_keys
 from hoistmoor.core.relay.beliefs import store_era as store_era_lib
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.relay.store import ports
@@ -28,18 +30,39 @@
 APPEND_BATCH_SIZE = 400
 # Attempts to read a snapshot when the store's era changes between pages.
 SNAPSHOT_ATTEMPTS = 3
+# Bytes of one record and of the records of one append request, if the settings
+# do not say.
+MAX_RECORD_BYTES = 262_144
+MAX_REQUEST_BYTES = 2_097_152
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")  # End offset, and first retained offset.
 _PARTITION = "0"
 _ERA_HEADER = "Store-Era"  # Present in every response.
 
 
+@attrs.frozen
+class StoreLimits:
+    """Sizes that the store accepts.
+
+    Attributes:
+        record: Bytes of one record without its length field.
+        request: Bytes of all records of one append request.
+    """
+
+    record: int = MAX_RECORD_BYTES
+    request: int = MAX_REQUEST_BYTES
+
+
+DEFAULT_LIMITS = StoreLimits()
+
+
 class StoreTopic:
     """Client for one keyed topic; holds no state besides the HTTP session.
 
     Attributes:
         topic: Name of the topic in the store.
         store_era: Store history, updated with the era of each response.
+        limits: Sizes that the store accepts.
     """
 
     def __init__(
@@ -48,6 +71,7 @@
         address: str,
         topic: str,
         store_era: store_era_lib.StoreEra,
+        limits: StoreLimits = DEFAULT_LIMITS,
     ) -> None:
         """Initializes the client without connecting.
 
@@ -56,7 +80,9 @@
             address: ``ip:port`` of the store.
             topic: Name of the topic in the store.
             store_era: Store history to update with the era of each response.
+            limits: Sizes that the store accepts.
         """
+        self.limits = limits
         self.topic = topic
         self.store_era = store_era
         self._session = session
@@ -115,7 +141,7 @@
             "POST",
             "log-append",
             query,
-            _frame_record(key, value),
+            self._frame(key, value),
         )
         if status == 412:
             return None
@@ -128,13 +154,30 @@
 
     async def put_all(self, records: dict[str, bytes]) -> None:
         """Appends a record for each key; see ``ports.KeyedTopic``."""
-        framed = [_frame_record(key, value) for key, value in records.items()]
-        for first in range(0, len(framed), APPEND_BATCH_SIZE):
-            body = b"".join(framed[first : first + APPEND_BATCH_SIZE])
+        framed = [self._frame(key, value) for key, value in records.items()]
+        for body in _join_records(framed, self.limits.request):
             status, _, _ = await self._call("POST", "log-append", {}, body)
             if status != 200:
                 raise self._unexpected_status("log-append", status)
 
+    def _frame(self, key: str, value: bytes) -> bytes:
+        """Returns a record in the wire format of an append request.
+
+        Raises:
+            RecordLimitError: It does not fit that format.
+        """
+        name = key.encode()
+        if len(name) > record_keys.MAX_BYTES:
+            raise errors.RecordLimitError(
+                key, "key", len(name), record_keys.MAX_BYTES
+            )
+        content = bytes([len(name)]) + name + value
+        if len(content) > self.limits.record:
+            raise errors.RecordLimitError(
+                key, "content", len(content), self.limits.record
+            )
+        return _LENGTH.pack(len(content)) + content
+
     async def _read(
         self, call: str, query: dict[str, str], wait: float = 0.0
     ) -> tuple[bytes, int]:
@@ -189,11 +232,25 @@
         )
 
 
-def _frame_record(key: str, value: bytes) -> bytes:
-    """Returns a record in the wire format of an append request."""
-    name = key.encode()
-    content = bytes([len(name)]) + name + value
-    return _LENGTH.pack(len(content)) + content
+def _join_records(framed: list[bytes], limit: int) -> Iterator[bytes]:
+    """Yields the bodies of append requests for some records.
+
+    Args:
+        framed: Records in the wire format, none of them larger than a request.
+        limit: Bytes of one request.
+    """
+    body: list[bytes] = []
+    size = 0
+    for record in framed:
+        if body and (
+            size + len(record) > limit or len(body) == APPEND_BATCH_SIZE
+        ):
+            yield b"".join(body)
+            body, size = [], 0
+        body.append(record)
+        size += len(record)
+    if body:
+        yield b"".join(body)
 
 
 def _parse_era(headers: Mapping[str, str]) -> store_era_lib.EraHeader:
@@ -243,9 +300,12 @@
     session: aiohttp.ClientSession,
     address: str,
     store_era: store_era_lib.StoreEra,
+    limits: StoreLimits = DEFAULT_LIMITS,
 ) -> ports.Topics:
     """Returns clients for the relay's topics in the store at ``address``."""
-    topic = functools.partial(StoreTopic, session, address, store_era=store_era)
+    topic = functools.partial(
+        StoreTopic, session, address, store_era=store_era, limits=limits
+    )
     return ports.Topics(
         operator=topic("keyed.op"),
         servers=topic("keyed.servers"),
--- a/src/hoistmoor/relay/store/ports.py
+++ b/src/hoistmoor/relay/store/ports.py
@@ -52,10 +52,19 @@
         Returns:
             The position after the record; None if the topic does not end at
             ``expected``, or if that position belongs to an older era.
+
+        Raises:
+            RecordLimitError: The record does not fit the store's format. It
+                was not written, and cannot be written later either.
         """
 
     async def put_all(self, records: dict[str, bytes]) -> None:
-        """Appends a record for each key, either all of them or none."""
+        """Appends a record for each key.
+
+        Raises:
+            RecordLimitError: A record does not fit the store's format. None
+                was written.
+        """
 
 
 @attrs.frozen
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -145,6 +145,8 @@
         self._topic = topic
         self._listener = listener
         self._gate = gate
+        # Keys of the quarantines that do not fit the store's format.
+        self._unwritable: set[str] = set()
 
     async def run(self) -> None:
         """Synchronizes the list periodically until cancelled."""
@@ -166,9 +168,18 @@
 
     async def _write(self, quarantined: dict[str, _Quarantine]) -> None:
         listed = self._listener.listed
-        for key in quarantined.keys() - listed:
-            await self._put(key, records.encode(quarantined[key]))
-            listed.add(key)
+        self._unwritable &= quarantined.keys()
+        for key in quarantined.keys() - listed - self._unwritable:
+            try:
+                await self._put(key, records.encode(quarantined[key]))
+            except errors.RecordLimitError as error:
+                # It holds on all hosts until they restart at once.
+                self._unwritable.add(key)
+                self._state.log_change(
+                    "quarantine_unwritable", detail=error.problem
+                )
+            else:
+                listed.add(key)
         for key in listed - quarantined.keys():
             await self._put(key, _TOMBSTONE)
             listed.discard(key)
--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -19,6 +19,8 @@
 from hoistmoor.relay.versions import rollout_listeners
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.store import ports
     from hoistmoor.relay.store import store_gate
@@ -69,6 +71,8 @@
         # Number of answers in the last report on each order.
         self._reported: dict[phases_lib.Order, int] = {}
         self._status_written: dict[str, phases_lib.PhaseRecord] = {}
+        # Orders with records that do not fit the store's format.
+        self._unwritable: set[phases_lib.Order] = set()
 
     async def run(self) -> None:
         """Advances all rollouts until cancelled."""
@@ -111,13 +115,33 @@
 
     async def _process(self, active: list[progress_lib.Progress]) -> None:
         for progress in active:
-            await self._report(progress)
+            await self._write_each(progress, self._report)
         await self._evidence.read_once()
         for progress in active:
-            await self._advance(progress)
-            if not self._has_phase(progress) and self._has_order(progress):
-                await self._restore(progress)
-            await self._write_status(progress)
+            for step in (self._advance, self._restore, self._write_status):
+                await self._write_each(progress, step)
+
+    async def _write_each(
+        self,
+        progress: progress_lib.Progress,
+        step: Callable[[progress_lib.Progress], Awaitable[None]],
+    ) -> None:
+        """Takes a step of one rollout, whose records may not be writable.
+
+        The other steps, and other rollouts, go on without such a record.
+        """
+        try:
+            await step(progress)
+        except errors.RecordLimitError as error:
+            order = progress.order
+            if order not in self._unwritable:
+                self._unwritable.add(order)
+                self._state.log_change(
+                    "rollout_unwritable",
+                    service=order.service,
+                    number=order.number,
+                    detail=error.problem,
+                )
 
     async def _report(self, progress: progress_lib.Progress) -> None:
         """Writes this host's counts if the target has answered since."""
@@ -157,7 +181,9 @@
         return not stored.is_behind(self._record(progress, progress.phase))
 
     async def _restore(self, progress: progress_lib.Progress) -> None:
-        """Writes a phase again that the store has lost."""
+        """Writes a phase again if the store has lost it."""
+        if self._has_phase(progress) or not self._has_order(progress):
+            return
         record = self._record(progress, progress.phase)
         is_written = await self._write_phase(record)
         self._state.log_change(
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -11,6 +11,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import store_era
+from hoistmoor.platform import store as store_lib
 
 if TYPE_CHECKING:
     import store_standin
@@ -191,3 +192,33 @@
     )
     assertions.assert_that(topic.store_era.era, matchers.Equals(2))
     assertions.assert_that(reported, matchers.Equals([kind]))
+
+
+async def test_a_record_that_does_not_fit_raises_record_limit(
+    standin: StoreFixture,
+) -> None:
+    server, stored, topic = standin
+    topic.limits = store_lib.StoreLimits(record=300, request=900)
+    for key, value in (
+        ("k" * 256, b"v"),
+        ("\u00e9" * 128, b"v"),
+        ("k", b"v" * 300),
+    ):
+        with pytest.raises(errors.RecordLimitError):
+            await topic.put(key, value)
+        with pytest.raises(errors.RecordLimitError):
+            await topic.put_all({"a": b"1", key: value})
+    assertions.assert_that(server.calls, matchers.HasLength(0))
+    await topic.put("k" * 255, b"v" * 44)
+    assertions.assert_that(stored.records, matchers.HasLength(1))
+
+
+async def test_many_records_are_split_by_the_size_of_a_request(
+    standin: StoreFixture,
+) -> None:
+    server, stored, topic = standin
+    topic.limits = store_lib.StoreLimits(record=300, request=900)
+    records = {f"k{number}": b"v" * 200 for number in range(10)}
+    await topic.put_all(records)
+    assertions.assert_that(dict(stored.records), matchers.Equals(records))
+    assertions.assert_that(server.calls, matchers.HasLength(3))
--- a/tests/relay/relay_process.py
+++ b/tests/relay/relay_process.py
@@ -201,11 +201,14 @@
 
 
 @contextlib.asynccontextmanager
-async def open_relay(folder: pathlib.Path) -> AsyncIterator[RelayProcess]:
+async def open_relay(
+    folder: pathlib.Path, **store_limits: int
+) -> AsyncIterator[RelayProcess]:
     """Starts the store and a relay that is the only host of its deployment.
 
     Args:
         folder: Directory of its settings and its log.
+        **store_limits: Sizes that the store accepts, as its settings name them.
     """
     standin = store_standin.StoreStandin()
     runner = web.AppRunner(standin.application())
@@ -230,7 +233,7 @@
                     "retry_window_s": 10,
                     "session_s": 5,
                 },
-                "platform": {"address": f"{ip}:{port}"},
+                "platform": {"address": f"{ip}:{port}", **store_limits},
             }
         )
     )
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -219,7 +219,8 @@
                 request.transport.abort()
         data = struct.pack(">QQ", len(topic.records), topic.first_kept)
         for key, value in topic.records[first:]:
-            content = bytes([len(key)]) + key.encode() + value
+            name = key.encode()
+            content = bytes([len(name)]) + name + value
             data += struct.pack(">I", len(content)) + content
         return web.Response(body=data)
 
@@ -230,11 +231,26 @@
         expected = request.query.get("expected_offset")
         if expected is not None and int(expected) != end:
             return web.json_response({"end_offset": end}, status=412)
-        (length,) = struct.unpack_from(">I", body)
-        content = body[4 : 4 + length]
+        try:
+            topic.records += _parse_records(body)
+        except (IndexError, UnicodeDecodeError, struct.error):
+            return web.Response(status=400)
+        return web.json_response(
+            {"offset": end, "end_offset": len(topic.records)}
+        )
+
+
+def _parse_records(body: bytes) -> list[tuple[str, bytes]]:
+    """Returns key and value of each record of an append request."""
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        content = body[position + 4 : position + 4 + length]
         key_end = 1 + content[0]
-        topic.records.append((content[1:key_end].decode(), content[key_end:]))
-        return web.json_response({"offset": end, "end_offset": end + 1})
+        records.append((content[1:key_end].decode(), content[key_end:]))
+        position += 4 + length
+    return records
 
 
 def main() -> None:
