Start a background task again that failed, and keep the process

What callers saw: one item that a background task could not handle ended the whole process, without a graceful stop: all requests in progress lost their answers, those of services that had nothing to do with the item, too.

Cause: the server waited for the first task that ended, for whatever reason, and left by the exception's way out. Restarting the process did not help, as the item came back from the store or from another host.

Now each task runs under a supervisor: its error is logged with the place and counted, and it starts again after 1 s, doubled up to 30 s while it keeps failing. Ending the process in order instead was ruled out: all hosts meet the same item, so that all would stop at once. A task that cannot go on lets its topic age, and a host without a current configuration is not ready, as before.

Two things made a restart lossy: a follower moved its position, and renewed the age of the topic, before its listener had applied a batch; and the listing left one of its two loops behind when the other failed.

--- a/src/hoistmoor/relay/background_tasks.py
+++ b/src/hoistmoor/relay/background_tasks.py
@@ -1,4 +1,8 @@
-"""Runs a relay's background tasks and reports which one fails, and where."""
+"""Runs a relay's background tasks, and starts one that failed again.
+
+Requests go on meanwhile. What a task no longer keeps current ages: without a
+current configuration, a host reports itself as not ready and refuses requests.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +16,14 @@
     from hoistmoor.relay import state as state_lib
 
 
+# Seconds until a task that failed starts again. The delay doubles with each
+# failure in a row, as the same input may make the task fail again.
+FIRST_RESTART_DELAY = 1.0
+MAX_RESTART_DELAY = 30.0
+# Seconds without a failure after which the next one is the first in a row.
+STABLE_SECONDS = 60.0
+
+
 class BackgroundTasks:
     """The background tasks of a relay, by name."""
 
@@ -37,16 +49,6 @@
             for name in self._loops
         ]
 
-    async def wait(self, stop: asyncio.Event) -> None:
-        """Waits until ``stop`` is set; raises the error of a failed task."""
-        stopping = asyncio.create_task(stop.wait())
-        await asyncio.wait(
-            {stopping, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in self._tasks:
-            if task.done():
-                task.result()
-
     async def cancel(self) -> None:
         """Cancels all tasks and waits until they have ended."""
         for task in self._tasks:
@@ -54,17 +56,29 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run(self, name: str) -> None:
-        try:
-            await self._loops[name]()
-        except Exception as error:
-            self._state.counters.task_failures.labels(name).inc()
-            self._state.log_change(
-                "task_failed",
-                task=name,
-                error=repr(error),
-                place=_innermost_place(error),
-            )
-            raise
+        delay = FIRST_RESTART_DELAY
+        while True:
+            began = self._state.clock()
+            try:
+                await self._loops[name]()
+            except Exception as error:
+                if self._state.clock() - began >= STABLE_SECONDS:
+                    delay = FIRST_RESTART_DELAY
+                self._report(name, error, delay)
+            else:
+                return
+            await asyncio.sleep(delay)
+            delay = min(MAX_RESTART_DELAY, delay * 2.0)
+
+    def _report(self, name: str, error: Exception, delay: float) -> None:
+        self._state.counters.task_failures.labels(name).inc()
+        self._state.log_change(
+            "task_failed",
+            task=name,
+            error=repr(error),
+            place=_innermost_place(error),
+            starts_in=delay,
+        )
 
 
 def _innermost_place(error: Exception) -> str:
--- a/src/hoistmoor/relay/peers/listing.py
+++ b/src/hoistmoor/relay/peers/listing.py
@@ -117,7 +117,9 @@
 
     async def run(self) -> None:
         """Lists this host when due, and relists hosts that the store lost."""
-        await asyncio.gather(self._list_self(), self._relist_missing())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._list_self())
+            group.create_task(self._relist_missing())
 
     async def _list_self(self) -> None:
         await self.due.wait()
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -78,7 +78,7 @@
         # collector need not scan them.
         gc.freeze()
         try:
-            await tasks.wait(stop)
+            await stop.wait()
             await self._stop()
         finally:
             await tasks.cancel()
--- a/src/hoistmoor/relay/store/follower.py
+++ b/src/hoistmoor/relay/store/follower.py
@@ -259,8 +259,16 @@
         return self._state.clock() - self._regained_at
 
     def apply(self, update: Update) -> None:
-        """Applies a batch that this host or another one has read."""
+        """Applies a batch that this host or another one has read.
+
+        If the listener fails, the position and the age of the topic stay as
+        they were, so that the batch is read again.
+        """
         batch = update.batch
+        known = self.replica.end
+        if known is not None and batch.end.era > known.era:
+            update = attrs.evolve(update, is_first_of_era=True)
+        relevant = self._listener(update)
         self._was_copy_dropped = False
         self.current_at = max(self.current_at, update.current_at)
         self._end_outage(update.current_at)
@@ -270,10 +278,6 @@
             self._regained_at, self._state.clock() - update.after_outage
         )
         self.place = batch.end
-        known = self.replica.end
-        if known is not None and batch.end.era > known.era:
-            update = attrs.evolve(update, is_first_of_era=True)
-        relevant = self._listener(update)
         self.replica.apply(attrs.evolve(batch, records=relevant))
         self._state.topics_read.add(self.name)
         self.loaded.set()
