Keep log lines whole and bounded, whatever their fields hold

What callers saw: a server whose load report is not valid text (two bytes FF FE in Hoistmoor-Instance-Load) got its complete answer replaced by a 500, as the line that reports it could not be written (probe over the real process). A request id, a path or a prompt part from a caller goes into lines as well, and lines of background tasks would end these.

Cause: the encoder raises for text that is not valid Unicode and for integers of more than 64 bits, and lines had any length, while a pipe takes only the beginning of one that does not fit: the next line was then joined to it.

Fields that JSON cannot represent are now written in an escaped form. A line has at most 16 KB; a longer one is cut, and says so. What a full pipe did not take of a line is written before the next one, or that one is left out and counted, as before.

Tests: 6 kinds of fields, before: TypeError for three, a line without end for three; a full pipe, before: 'unexpected character ... column 4099'.

--- a/src/hoistmoor/relay/event_log.py
+++ b/src/hoistmoor/relay/event_log.py
@@ -1,4 +1,8 @@
-"""Rate-limited JSON event log, one line per decision."""
+"""Rate-limited JSON event log, one line per decision.
+
+Fields may hold what callers, servers and other hosts have sent, of any length
+and with any bytes.
+"""
 
 from __future__ import annotations
 
@@ -15,6 +19,11 @@
 # Sustained rate per kind of event; costs about 1% of a CPU core.
 LINES_PER_SECOND = 100.0
 BURST = 200.0  # Lines per kind of event that may be written at once.
+# Bytes of one line. A server that crashes with 64 requests takes about 8 KB.
+MAX_LINE_BYTES = 16_384
+# Characters of a text, and items of a list, to which a longer line is cut; the
+# first limit with which it fits is used.
+CUT_LIMITS = (256, 64, 16)
 
 
 @attrs.define
@@ -40,7 +49,7 @@
 
     Each kind of event has its own rate limit, so that a burst of one kind does
     not suppress the others. A line reports how many lines of its kind were
-    dropped before it.
+    dropped before it, and whether its fields were cut.
     """
 
     def __init__(
@@ -55,6 +64,8 @@
         self._buckets: dict[str, _TokenBucket] = collections.defaultdict(
             _TokenBucket
         )
+        # End of a line of which a full pipe took only the beginning.
+        self._rest = b""
         os.set_blocking(self.descriptor, False)
 
     def write(self, kind: str, **fields: object) -> None:
@@ -65,6 +76,7 @@
             **fields: Inputs and outcome of the decision.
         """
         now = self._clock()
+        self._write_rest()
         bucket = self._buckets[kind]
         if not bucket.try_take(now):
             return
@@ -76,11 +88,69 @@
         }
         if bucket.left_out:
             line["left_out"] = bucket.left_out
-        data = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
-        try:
-            os.write(self.descriptor, data)
-        except BlockingIOError:
+        if self._rest or not self._write(_encode_bounded(line)):
             # The pipe is full: the next line reports the dropped one.
             bucket.left_out += 1
             return
         bucket.left_out = 0
+
+    def _write_rest(self) -> None:
+        """Writes what is left of an earlier line."""
+        rest, self._rest = self._rest, b""
+        if rest and not self._write(rest):
+            self._rest = rest
+
+    def _write(self, data: bytes) -> bool:
+        """Writes bytes, or keeps their end for later.
+
+        Returns:
+            False if nothing was written.
+        """
+        try:
+            written = os.write(self.descriptor, data)
+        except BlockingIOError:
+            return False
+        self._rest = data[written:]
+        return True
+
+
+def _encode_bounded(line: dict[str, object]) -> bytes:
+    """Encodes a line; cuts its fields if it would be too long."""
+    data = _encode(line)
+    for limit in CUT_LIMITS:
+        if len(data) <= MAX_LINE_BYTES:
+            return data
+        cut = {name: _cut(value, limit) for name, value in line.items()}
+        data = _encode({**cut, "cut": limit})
+    if len(data) <= MAX_LINE_BYTES:
+        return data
+    kept = {name: line[name] for name in ("t", "event")}
+    return _encode({**kept, "cut": 0})
+
+
+def _encode(line: dict[str, object]) -> bytes:
+    option = orjson.OPT_APPEND_NEWLINE
+    try:
+        return orjson.dumps(line, default=str, option=option)
+    except TypeError:
+        # Texts that are not valid Unicode, or integers beyond 64 bits.
+        printable = {name: _printable(value) for name, value in line.items()}
+        return orjson.dumps(printable, default=str, option=option)
+
+
+def _cut(value: object, limit: int) -> object:
+    """Returns a field with at most ``limit`` characters and items."""
+    if isinstance(value, str):
+        return value[:limit]
+    if isinstance(value, list | tuple):
+        return [_cut(item, limit) for item in value[:limit]]
+    return value
+
+
+def _printable(value: object) -> object:
+    """Returns a field that JSON can represent."""
+    if isinstance(value, list | tuple):
+        return [_printable(item) for item in value]
+    # The decimal form of an integer is limited to 4300 digits.
+    text = hex(value) if isinstance(value, int) else str(value)
+    return text.encode(errors="backslashreplace").decode()
