Bound the numbers and prompt parts that callers send

What callers saw: a request with a number of over 308 digits among its tokens, the sizes of its prompt parts or its time limit got a 500 that says nothing of whether it ran; so did one whose part has a superscript digit for its size. A part with a space in its name shared the key of a quarantine with the two parts that it reads like.

Cause: numbers were read at any length, and converted to floating point or compared much later; names of parts were any text, and became parts of keys, messages between hosts and log lines.

Numbers beyond 10^12 now count as that one; an event id that large is passed on unread. Names of parts are printable ASCII without spaces, colons and commas; a list with any other is treated as missing, as malformed lists were before.

--- a/src/hoistmoor/core/relay/servers/part_states.py
+++ b/src/hoistmoor/core/relay/servers/part_states.py
@@ -10,8 +10,8 @@
 from hoistmoor.core.relay.beliefs import record_keys
 from hoistmoor.core.relay.servers import part_evidence
 
-# Separates a service and parts in the key of a quarantine. Headers do not allow
-# it in parts.
+# Separates a service and parts in the key of a quarantine. It is not read as a
+# character of a part.
 KEY_SEPARATOR = " "
 # Seconds after the latest crash for which requests are refused.
 QUARANTINE_SECONDS = 3600.0
--- a/src/hoistmoor/relay/front/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -148,7 +148,7 @@
             prompt=prompt,
             model_costs=service_config.model_costs if service_config else {},
             session=headers.get(names.session, ""),
-            last_event=header_values.parse_number(
+            last_event=header_values.parse_event_id(
                 headers.get(names.last_event)
             ),
             priority=_priority(route, account),
