Read message heads of the same sizes on both sides of a hop

What callers saw: a request with an id of 8191 bytes or more, or whose server responds with so long a line or over 128 lines, got a 502 after the server had run it to the end; one with over 128 header lines got a 400, though all its lines fit the 16 KB that the configuration allows.

Cause: the listeners read lines of 16 KB, while the HTTP client kept its library's default of 8190 bytes; both kept the default of 128 lines.

One pair of limits holds for listeners and clients: 64 KB a line and 4096 lines, enough for any head of 16 KB, and for a header of callers that servers echo.

--- a/src/hoistmoor/clients/sessions.py
+++ b/src/hoistmoor/clients/sessions.py
@@ -16,6 +16,8 @@
 import aiohttp
 from aiohttp import client_proto
 
+from hoistmoor.utils import http_limits
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import SimpleNamespace
@@ -223,6 +225,9 @@
             "User-Agent",
         ),
         auto_decompress=False,
+        max_line_size=http_limits.MAX_HEADER_LINE,
+        max_field_size=http_limits.MAX_HEADER_LINE,
+        max_headers=http_limits.MAX_HEADERS,
         response_class=_make_response_class(attempt_header),
         trace_configs=[TRACE],
     )
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -11,6 +11,7 @@
 from hoistmoor.relay import background_tasks
 from hoistmoor.relay.front import http_handlers as http_handlers_lib
 from hoistmoor.relay.peers import request_handler as request_handler_lib
+from hoistmoor.utils import http_limits
 from hoistmoor.utils import listening
 
 if TYPE_CHECKING:
@@ -29,7 +30,6 @@
 STOP_POLL_INTERVAL = 0.5
 # Seconds before the forced stop at which remaining requests are cut off.
 STOP_MARGIN = 0.8
-MAX_HEADER_LINE = 16384  # Bytes per line of a request head.
 
 
 class RelayServer:
@@ -107,8 +107,9 @@
                 handler_cancellation=True,
                 access_log=None,
                 auto_decompress=False,
-                max_line_size=MAX_HEADER_LINE,
-                max_field_size=MAX_HEADER_LINE,
+                max_line_size=http_limits.MAX_HEADER_LINE,
+                max_field_size=http_limits.MAX_HEADER_LINE,
+                max_headers=http_limits.MAX_HEADERS,
                 keepalive_timeout=3600.0,
             )
             runner = web.ServerRunner(server, shutdown_timeout=0.1)
