Find the cause of crashes in time with prompts of thousands of parts

What callers saw: nothing was served by a host for seconds while servers crashed under prompts with 2,000 parts, which fit a header of 16 KB: the host looks for the cause at each crash, and compared all parts with each other at each crash, in the loop that serves requests.

Of the parts that were in the same runs, one now stands for all.

--- a/src/hoistmoor/core/relay/servers/crash_causes.py
+++ b/src/hoistmoor/core/relay/servers/crash_causes.py
@@ -14,6 +14,10 @@
 simultaneous crashes, three may have a part in common by chance. So the other
 hosts are given time to report that they served it, unless it was at so many of
 the crashes that chance is ruled out.
+
+A prompt may have thousands of parts, nearly all of which were in the same runs.
+One of each such group stands for all of them, so that the time to find a cause
+grows with their number only.
 """
 
 from __future__ import annotations
@@ -108,7 +112,7 @@
         crashes: Crashes of one service's servers, without parts that were
             served.
     """
-    every = tuple(crashes)
+    every, groups = _merge_equal_parts(tuple(crashes))
     remaining = every
     causes: list[Cause] = []
     while True:
@@ -121,7 +125,11 @@
             return causes
         causes.append(
             Cause(
-                _inseparable(part, by_part),
+                frozenset(
+                    member
+                    for each in _inseparable(part, by_part)
+                    for member in groups[each]
+                ),
                 tuple(explained),
                 _is_certain(part, explained, every),
             )
@@ -129,6 +137,35 @@
         remaining = tuple(each for each in remaining if each not in explained)
 
 
+def _merge_equal_parts(
+    crashes: tuple[Crash, ...],
+) -> tuple[tuple[Crash, ...], dict[str, list[str]]]:
+    """Keeps one of the parts that were in the same runs.
+
+    Returns:
+        The crashes with the parts that were kept, and all parts for which each
+        of these stands.
+    """
+    runs_by_part = collections.defaultdict(list)
+    for number, crash in enumerate(crashes):
+        for fingerprint, parts in crash.runs.items():
+            for part in parts:
+                runs_by_part[part].append((number, fingerprint))
+    parts_by_runs = collections.defaultdict(list)
+    for part in sorted(runs_by_part):
+        parts_by_runs[tuple(runs_by_part[part])].append(part)
+    groups = {parts[0]: parts for parts in parts_by_runs.values()}
+    kept = frozenset(groups)
+    merged = tuple(
+        attrs.evolve(
+            crash,
+            runs={name: parts & kept for name, parts in crash.runs.items()},
+        )
+        for crash in crashes
+    )
+    return merged, groups
+
+
 def _crashes_by_part(crashes: Iterable[Crash]) -> dict[str, list[Crash]]:
     by_part = collections.defaultdict(list)
     for crash in crashes:
