Bound the evidence of crashes that one message carries

What callers saw: while servers crashed under long prompts, hosts stopped learning from each other: a message between hosts grew with the parts of all requests at all crashes, while the listener reads 1 MB and the sender waits one second for the answer.

Cause: a message was bounded by the number of its changes, and its text said 64 KB at most; one crash has up to 16 requests with up to 16 KB of parts each, and 64 of these are sent to a host that starts.

The changes of a message now have 64 KB of names, one crash at least, and a crash keeps 32 KB of its requests' parts, those whose responses had begun first. Prompts of the usual size (32 parts of 8 digits) are far below both. Serials cover what was left out, so that the next message goes on there. Larger evidence of hosts of an earlier version is read, and cut.

Test: 12 crashes of 16 prompts of 500 parts arrive whole, in messages of under 128 KB; before, one message had all.

--- a/src/hoistmoor/core/relay/servers/crashing_parts.py
+++ b/src/hoistmoor/core/relay/servers/crashing_parts.py
@@ -36,9 +36,11 @@
 CRASH_TTL = 300.0  # Seconds for which a crash is stored.
 MAX_CRASHES = 64  # Crashes that are stored.
 MAX_QUARANTINES = 64
-# Changes in one message, 64 KB at most. While many servers crash, those that
-# tell which parts were served must arrive before others settle on a cause.
+# Changes in one message, and bytes of their names. While many servers crash,
+# those that tell which parts were served must arrive before others settle on a
+# cause.
 MAX_PER_MESSAGE = 64
+MAX_MESSAGE_BYTES = 65_536
 # Seconds by which the ages that hosts tell of the same crash may differ.
 AGE_TOLERANCE = 2.0
 # Seconds for which one host may send the test; then it is another one's turn.
@@ -283,7 +285,13 @@
             *self._told.values(),
             *self._quarantines.values(),
         ]
-        new, until = self.serials.batch(states, after, MAX_PER_MESSAGE)
+        new, until = self.serials.batch(
+            states,
+            after,
+            MAX_PER_MESSAGE,
+            lambda each: each.message_bytes,
+            MAX_MESSAGE_BYTES,
+        )
         return PartChanges(
             tuple(
                 each.to_message(now)
@@ -321,8 +329,9 @@
     ) -> None:
         state = self._crashes.get(crash.server)
         if state is None:
+            runs = part_evidence.select_runs([*crash.runs])
             state = part_states.CrashState(
-                attrs.evolve(crash, age=0.0), now - crash.age, now
+                attrs.evolve(crash, runs=runs, age=0.0), now - crash.age, now
             )
             self._crashes[crash.server] = state
             for seconds in _SETTLE_SECONDS:
--- a/src/hoistmoor/core/relay/servers/part_evidence.py
+++ b/src/hoistmoor/core/relay/servers/part_evidence.py
@@ -13,6 +13,11 @@
 # Runs that are stored for one crash. A server has 64 requests at once, most of
 # which have delivered parts of their responses.
 MAX_RUNS = 16
+# Bytes of the parts of these runs: two requests with the longest prompts, or 16
+# with 200 parts each. The first run is stored regardless.
+MAX_RUN_BYTES = 32_768
+# Bytes that a name takes in a message besides its own: quotes and a comma.
+_NAME_OVERHEAD = 3
 
 
 @attrs.frozen
@@ -29,6 +34,11 @@
     parts: tuple[str, ...]
     has_begun: bool
 
+    @property
+    def name_bytes(self) -> int:
+        """Bytes of its names in a message."""
+        return len(self.fingerprint) + total_bytes(self.parts)
+
 
 @attrs.frozen
 class ServerCrash:
@@ -94,6 +104,11 @@
     probe_age: float = 0.0
 
 
+def total_bytes(parts: tuple[str, ...]) -> int:
+    """Returns the bytes of some parts in a message."""
+    return sum(len(part) + _NAME_OVERHEAD for part in parts)
+
+
 def crashed_runs(
     present: list[runs_lib.Run], now: float
 ) -> tuple[CrashedRun, ...]:
@@ -124,4 +139,11 @@
     by_request: dict[str, CrashedRun] = {}
     for run in found:
         by_request.setdefault(run.fingerprint, run)
-    return tuple(by_request.values())[:MAX_RUNS]
+    selected: list[CrashedRun] = []
+    size = 0
+    for run in tuple(by_request.values())[:MAX_RUNS]:
+        size += run.name_bytes
+        if selected and size > MAX_RUN_BYTES:
+            break
+        selected.append(run)
+    return tuple(selected)
--- a/src/hoistmoor/core/relay/servers/part_states.py
+++ b/src/hoistmoor/core/relay/servers/part_states.py
@@ -37,6 +37,11 @@
     learned_at: float
     serial: int = 0
 
+    @property
+    def message_bytes(self) -> int:
+        """Bytes of the names in the message."""
+        return sum(run.name_bytes for run in self.crash.runs)
+
     def to_message(self, now: float) -> part_evidence.ServerCrash:
         """Returns the crash to send to other hosts."""
         return attrs.evolve(self.crash, age=now - self.at)
@@ -56,6 +61,11 @@
     at: float
     serial: int = 0
 
+    @property
+    def message_bytes(self) -> int:
+        """Bytes of the names in the message."""
+        return len(self.served.part)
+
     def to_message(self, now: float) -> part_evidence.ServedPart:
         """Returns the part to send to other hosts."""
         return attrs.evolve(self.served, age=now - self.at)
@@ -77,6 +87,11 @@
     probed_at: float
     serial: int = 0
 
+    @property
+    def message_bytes(self) -> int:
+        """Bytes of the names in the message."""
+        return part_evidence.total_bytes(self.quarantine.parts)
+
     def to_message(self, now: float) -> part_evidence.PartQuarantine:
         """Returns the quarantine to send to other hosts."""
         return attrs.evolve(
--- a/tests/core/relay/servers/test_relay_crashing_parts.py
+++ b/tests/core/relay/servers/test_relay_crashing_parts.py
@@ -13,7 +13,9 @@
 from testtools import matchers
 
 from hoistmoor.core.relay.servers import crashing_parts
+from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.servers import served_parts
+from hoistmoor.relay import records
 
 # Servers and sound requests per second by number of hosts.
 SIZES = {7: (6, 33.0), 60: (30, 150.0), 300: (60, 300.0)}
@@ -167,3 +169,30 @@
         len(stored.crashes),
         matchers.LessThan(crashing_parts.MAX_CRASHES + 1),
     )
+
+
+def test_crashes_of_long_prompts_are_told_in_bounded_messages() -> None:
+    told = crashing_parts.CrashingParts()
+    for server in range(12):
+        runs = tuple(
+            part_evidence.CrashedRun(
+                f"f{server}-{run}",
+                tuple(f"{server:x}-{run:x}-{part:x}" for part in range(500)),
+                run == 0,
+            )
+            for run in range(part_evidence.MAX_RUNS)
+        )
+        crash = part_evidence.ServerCrash(f"s{server}", "llm", "v1", runs)
+        told.merge(crashing_parts.PartChanges(crashes=(crash,)), 100.0)
+    after, known = 0, []
+    while after < told.serials.newest:
+        changes, after = told.changes_since(after, 100.0)
+        known += [each.server for each in changes.crashes]
+        size = len(records.encode(changes))
+        limit = 2 * crashing_parts.MAX_MESSAGE_BYTES
+        assertions.assert_that(size, matchers.LessThan(limit))
+        for crash in changes.crashes:
+            assertions.assert_that(crash.runs[0].has_begun, matchers.Is(True))
+    assertions.assert_that(
+        known, matchers.Equals([f"s{server}" for server in range(12)])
+    )
