Take no host's entry whose name is not its key

What callers saw: nothing yet; found while looking for the class of the quarantines' keys. The entry of another writer in the list of hosts may name a host of any length in its value. When the store came back from an older copy, the host that reads it listed all lost hosts again under the names in their values, and one that does not fit a key made it fail, at each attempt.

Hosts of all versions list themselves under their names, so an entry whose name is not its key is no host's. It is logged as unreadable, as other malformed entries are, and so is one whose failure domain has over 256 characters.

The test writes such an entry and restores the store over the real process: before, the entry is taken for a host and the wait for its refusal ends by its time; after, it is refused and the others are listed again.

--- a/src/hoistmoor/relay/peers/listing.py
+++ b/src/hoistmoor/relay/peers/listing.py
@@ -51,7 +51,7 @@
             if record.value is None:
                 continue
             try:
-                host = peer_codec.decode_host(record.value)
+                host = peer_codec.decode_host(record.key, record.value)
             except ValueError as error:
                 self._state.log_unreadable_record("host", record, error)
                 continue
--- a/src/hoistmoor/relay/peers/peer_codec.py
+++ b/src/hoistmoor/relay/peers/peer_codec.py
@@ -18,6 +18,8 @@
 from hoistmoor.relay import records
 from hoistmoor.utils import addresses
 
+MAX_NAME = 256  # Characters of the name of a host or a failure domain.
+
 
 @attrs.frozen
 class TopicCopy:
@@ -155,9 +157,18 @@
     return records.decode(data, CopyAnswer)
 
 
-def decode_host(data: bytes) -> replication.Host:
-    """Decodes a host's entry; raises ``ValueError`` if it is malformed."""
+def decode_host(key: str, data: bytes) -> replication.Host:
+    """Decodes a host's entry; raises ``ValueError`` if it is malformed.
+
+    Args:
+        key: Key of the entry, which is the host's name.
+        data: Value of the entry.
+    """
     host = records.decode(data, replication.Host)
+    if host.name != key:
+        raise ValueError(f"not a Host: it names {host.name[:MAX_NAME]!r}")
+    if len(host.zone) > MAX_NAME:
+        raise ValueError("not a Host: the name of its failure domain is long")
     try:
         addresses.parse(host.address)
     except errors.ConfigurationError as error:
--- a/tests/core/relay/servers/test_relay_crash_causes.py
+++ b/tests/core/relay/servers/test_relay_crash_causes.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import pytest
+from typing import TYPE_CHECKING
+
 from testtools import assertions
 from testtools import matchers
 
 from hoistmoor.core.relay.servers import crash_causes
 
+if TYPE_CHECKING:
+    import pytest
+
 CRASHES = 40
 PARTS = 2000  # As many fit a header of 16 KB.
 COMMON = frozenset(f"common{number}" for number in range(PARTS))
--- a/tests/relay/peers/test_relay_peer_codec.py
+++ b/tests/relay/peers/test_relay_peer_codec.py
@@ -146,4 +146,4 @@
 )
 def test_malformed_host_entry_raises_value_error(fields: object) -> None:
     with pytest.raises(ValueError, match="not a Host"):
-        peer_codec.decode_host(orjson.dumps(fields))
+        peer_codec.decode_host("h1", orjson.dumps(fields))
--- a/tests/relay/relay_process.py
+++ b/tests/relay/relay_process.py
@@ -154,16 +154,16 @@
             "warmup_left_ms": 0,
             "sequence": 1,
         }
-        self._write("keyed.servers", server_id, entry)
+        self.write("keyed.servers", server_id, orjson.dumps(entry))
 
     def order(self, service: str, target: str, duration: float) -> None:
         """Orders a roll-out that takes some seconds, as an operator does."""
         order = {"service": service, "target": target, "duration_s": duration}
-        self._write("keyed.op", f"rollout/{service}", order)
+        self.write("keyed.op", f"rollout/{service}", orjson.dumps(order))
 
-    def _write(self, topic: str, key: str, fields: dict[str, Any]) -> None:
-        record = (key, orjson.dumps(fields))
-        self.store.topic(topic).records.append(record)
+    def write(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record as another program does."""
+        self.store.topic(topic).records.append((key, value))
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Returns the newest records of a topic, without removed keys."""
--- a/tests/relay/test_relay_long_keys.py
+++ b/tests/relay/test_relay_long_keys.py
@@ -12,14 +12,17 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.beliefs import replication
 from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     import pathlib
 
+HOSTS = "keyed.relay-hosts"
 QUARANTINES = "keyed.relay-quarantine"
 PHASES = "keyed.rollout-phases"
 STATUS = "keyed.status"
@@ -96,3 +99,17 @@
     await relay.until(
         lambda: b"reverted" in relay.newest(STATUS).get(ROLLOUT, b"")
     )
+
+
+async def test_a_host_with_a_long_name_does_not_keep_others_from_the_list(
+    relay: relay_process.RelayProcess,
+) -> None:
+    await relay.until(lambda: "relay-0" in relay.newest(HOSTS))
+    junk = replication.Host("x" * 300, "a", "127.0.0.1:1")
+    relay.write(HOSTS, "junk", peer_codec.encode(junk))
+    await relay.until(lambda: bool(relay.lines("host_unreadable")))
+    relay.store.rewind(3600.0)
+    await relay.until(lambda: bool(relay.lines("hosts_listed_again")))
+    assertions.assert_that(
+        list(relay.newest(HOSTS)), matchers.Equals(["relay-0"])
+    )
