Refuse a server's entry whose key is no header value

What callers saw: requests that are sent to such a server get a 500, as its id becomes a header of the request and the HTTP client refuses control characters in it; the id also goes to other hosts in headers and log lines.

Cause: all fields of an entry are checked, its key was not. A key is now held to the same check as the names in the entry.

Test: four keys, none refused before.

--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -71,6 +71,11 @@
     def server(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns the registry entry of a backend server."""
         fields = _load(record, fields_lib.SERVER)
+        if not fields_lib.is_text(record.key):
+            # It becomes a header of requests to the server.
+            raise _codec_error(
+                record, fields_lib.FieldError("its key is not printable")
+            )
         return server_lib.ServerEntry(
             server_id=record.key,
             service=fields["service"],
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -339,3 +339,11 @@
     assertions.assert_that(
         request.work("large"), matchers.Equals(10 * request.work("small"))
     )
+
+
+@pytest.mark.parametrize("key", ["", "i-1\r\nX-Own: 1", "i\x00", "\\xff\n"])
+def test_server_entry_whose_key_is_no_header_value_is_refused(
+    key: str,
+) -> None:
+    with pytest.raises(errors.CodecError):
+        CODEC.server(record(key, SERVER))
