Split the counts of a roll-out by the size of a record

What callers saw: at 360 hosts, a version that fails would go on getting its share, as no host could write the counts by which it is judged.

Cause: the host that reads the store writes the counts of all hosts in one record. 360 hosts with ten routes make 440,201 bytes; the store takes 262,144 and answers anything larger with an error, which counted as an outage.

A report that fits is written as before.

Test: the counts of 0 to 360 hosts on 0 to 400 routes come back whole, each record below the store's limit; before, one record of 440,201 bytes.

--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -156,11 +156,12 @@
             return
         for evidence in known:
             self._evidence_listener.book.merge(evidence)
-        report = rollout_codec.EvidenceReport(state.run_name, tuple(known))
-        await self._topics.evidence.put(
-            record_keys.bound(f"{order.service}/{state.run_name}"),
-            rollout_codec.encode(report),
-        )
+        for number, report in enumerate(
+            rollout_codec.split_report(state.run_name, known)
+        ):
+            name = f"{order.service}/{state.run_name}"
+            key = f"{name}/{number}" if number else name
+            await self._topics.evidence.put(record_keys.bound(key), report)
         self._reported[order] = answers
 
     def _has_order(self, progress: progress_lib.Progress) -> bool:
