Keep 80 characters of a header name that servers invent

64 names are remembered so that each is logged once; a name may have 64 KB, in all 4 MB of a host that has 150. Found by reading; the bound on the number of names has a test, the length of one has none.

--- a/src/hoistmoor/relay/report_tracker.py
+++ b/src/hoistmoor/relay/report_tracker.py
@@ -23,6 +23,7 @@
 
 # Distinct unknown header names to log; bounds memory and log volume.
 MAX_LOGGED_NAMES = 64
+MAX_NAME_CHARACTERS = 80  # Characters of such a name that are kept.
 
 
 class ServerReportTracker:
@@ -257,6 +258,7 @@
         self, server: server_lib.ServerState, name: str
     ) -> None:
         """Logs each unrecognized header name once."""
+        name = name[:MAX_NAME_CHARACTERS]
         if (
             name in self._logged_names
             or len(self._logged_names) >= MAX_LOGGED_NAMES
