Bound the identifiers that callers choose

What callers saw: a request whose model is no valid text got a 500; 8192 prompts with a part of 16 KB each would hold 134 MB of a host that has 150 (by reading: parts that were served are remembered by name, 2 MB by their text).

Cause: the names of prompt parts, models and sessions were kept as they came, in tables that are bounded by the number of their entries.

Names of over 64 characters, or with bytes that are no text, are now known by a digest; servers still get the caller's headers unchanged. 64 digits, a digest of 256 bits, are kept, so that ordinary names are the same as in earlier versions. What hosts of an earlier version tell or have stored about longer parts is translated when it is read. Their records stay under their own keys: this version remembers which quarantine a record holds, and neither writes it twice nor removes it, which would lift it everywhere.

--- a/src/hoistmoor/core/relay/servers/crashing_parts.py
+++ b/src/hoistmoor/core/relay/servers/crashing_parts.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.course import identifiers
 from hoistmoor.core.relay.servers import crash_causes
 from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.servers import part_states
@@ -73,6 +74,34 @@
 )
 
 
+def _with_bounded_names(changes: PartChanges) -> PartChanges:
+    """Returns changes with parts as this version names them.
+
+    Hosts of an earlier version name parts of any length, also in the store.
+    """
+    return PartChanges(
+        tuple(map(part_evidence.with_bounded_parts, changes.crashes)),
+        tuple(
+            attrs.evolve(each, part=identifiers.bound(each.part))
+            for each in changes.served
+        ),
+        tuple(
+            attrs.evolve(
+                each, parts=tuple(sorted(identifiers.bound_all(each.parts)))
+            )
+            for each in changes.quarantines
+        ),
+    )
+
+
+def key_of(quarantine: part_evidence.PartQuarantine) -> str:
+    """Returns the key by which this version knows a quarantine."""
+    (bounded,) = _with_bounded_names(
+        PartChanges(quarantines=(quarantine,))
+    ).quarantines
+    return part_states.QuarantineState(bounded, 0.0, 0.0).key
+
+
 class CrashingParts:
     """Evidence against prompt parts, from this host and from others.
 
@@ -162,6 +191,7 @@
         Returns:
             Identities of the servers whose crashes were unknown to this host.
         """
+        changes = _with_bounded_names(changes)
         unknown = [
             each.server
             for each in changes.crashes
--- a/src/hoistmoor/core/relay/servers/part_evidence.py
+++ b/src/hoistmoor/core/relay/servers/part_evidence.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from hoistmoor.core.relay.course import identifiers
 from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import suspect_state
 
@@ -109,6 +110,15 @@
     return sum(len(part) + _NAME_OVERHEAD for part in parts)
 
 
+def with_bounded_parts(crash: ServerCrash) -> ServerCrash:
+    """Returns a crash with parts as this version names them."""
+    runs = tuple(
+        attrs.evolve(run, parts=identifiers.bound_all(run.parts))
+        for run in crash.runs
+    )
+    return attrs.evolve(crash, runs=runs)
+
+
 def crashed_runs(
     present: list[runs_lib.Run], now: float
 ) -> tuple[CrashedRun, ...]:
--- a/src/hoistmoor/relay/front/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.core import outcomes
 from hoistmoor.core import refusals
+from hoistmoor.core.relay.course import identifiers
 from hoistmoor.core.relay.course import requests
 from hoistmoor.relay.front import header_names
 from hoistmoor.relay.front import header_values
@@ -147,7 +148,7 @@
             deadline=head.arrived + min(time_limit, route.timeout),
             prompt=prompt,
             model_costs=service_config.model_costs if service_config else {},
-            session=headers.get(names.session, ""),
+            session=identifiers.bound(headers.get(names.session, "")),
             last_event=header_values.parse_event_id(
                 headers.get(names.last_event)
             ),
--- a/src/hoistmoor/relay/front/header_values.py
+++ b/src/hoistmoor/relay/front/header_values.py
@@ -5,6 +5,7 @@
 import math
 import re
 
+from hoistmoor.core.relay.course import identifiers
 from hoistmoor.core.relay.course import requests
 
 # Largest absolute value; numbers beyond count as this one. In milliseconds it
@@ -34,7 +35,9 @@
     numbers = parse_numbers(tokens)
     if len(numbers) != 2:
         numbers = (0, 0)
-    return requests.Prompt(model, numbers[0], numbers[1], _parse_parts(parts))
+    return requests.Prompt(
+        identifiers.bound(model), numbers[0], numbers[1], _parse_parts(parts)
+    )
 
 
 def parse_number(text: str | None) -> int | None:
@@ -75,5 +78,6 @@
         match = _PART.fullmatch(word)
         if match is None:
             return ()
-        parts.append(requests.PromptPart(match[1], _to_bounded(match[2])))
+        name = identifiers.bound(match[1])
+        parts.append(requests.PromptPart(name, _to_bounded(match[2])))
     return tuple(parts)
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.servers import crashing_parts
@@ -36,6 +36,7 @@
 
 
 # A quarantine of either kind, as it is stored.
+_T = TypeVar("_T")
 _Quarantine = suspect_state.Suspect | part_evidence.PartQuarantine
 
 
@@ -53,15 +54,21 @@
     return part_states.KEY_SEPARATOR in key
 
 
+def _decode(record: topics.Record, kind: type[_T]) -> _T:
+    return records.decode(record.value or b"", kind)
+
+
 class QuarantineListener:
     """Applies the quarantines that are listed in the store.
 
     Attributes:
-        listed: Keys that are listed in the newest era of the store.
+        listed: Keys of the records in the newest era of the store, each with
+            the key by which this version knows its quarantine. Earlier
+            versions have named some parts otherwise.
     """
 
     def __init__(self, state: state_lib.RelayState) -> None:
-        self.listed: set[str] = set()
+        self.listed: dict[str, str] = {}
         # Keys of quarantines that have ended, oldest first.
         self._ended: collections.deque[str] = collections.deque(
             maxlen=MAX_ENDED
@@ -74,7 +81,8 @@
         if update.is_first_of_era:
             self._reset_listed(batch)
         elif batch.is_snapshot:
-            for key in self.listed - {each.key for each in batch.records}:
+            found = {each.key for each in batch.records}
+            for key in self.listed.keys() - found:
                 self._end(key)
         for record in batch.records:
             if record.value is None:
@@ -82,7 +90,7 @@
             elif update.is_first_of_era and self._has_ended(record.key):
                 continue
             else:
-                self._apply(record, record.value)
+                self._apply(record)
         return batch.records
 
     def _has_ended(self, key: str) -> bool:
@@ -95,26 +103,30 @@
         state: it writes missing quarantines again and removes ended ones.
         """
         self.listed = {
-            each.key for each in batch.records if each.value is not None
+            each.key: each.key
+            for each in batch.records
+            if each.value is not None
         }
 
-    def _apply(self, record: topics.Record, value: bytes) -> None:
+    def _apply(self, record: topics.Record) -> None:
+        key = record.key
         try:
             if _is_of_parts(record.key):
-                told = records.decode(value, part_evidence.PartQuarantine)
+                told = _decode(record, part_evidence.PartQuarantine)
+                key = crashing_parts.key_of(told)
                 changes = crashing_parts.PartChanges(quarantines=(told,))
                 self._state.merge_parts(changes)
             else:
-                suspect = records.decode(value, suspect_state.Suspect)
+                suspect = _decode(record, suspect_state.Suspect)
                 self._state.merge_suspects([suspect])
         except ValueError as error:
             self._state.log_unreadable_record("quarantine", record, error)
             return
-        self.listed.add(record.key)
+        self.listed[record.key] = key
 
-    def _end(self, key: str) -> None:
-        self.listed.discard(key)
-        self._ended.append(key)
+    def _end(self, record_key: str) -> None:
+        key = self.listed.pop(record_key, record_key)
+        self._ended.append(record_key)
         router = self._state.router
         if _is_of_parts(key):
             router.parts.lift(key, self._state.clock())
@@ -169,7 +181,8 @@
     async def _write(self, quarantined: dict[str, _Quarantine]) -> None:
         listed = self._listener.listed
         self._unwritable &= quarantined.keys()
-        for key in quarantined.keys() - listed - self._unwritable:
+        unlisted = quarantined.keys() - set(listed.values())
+        for key in unlisted - self._unwritable:
             try:
                 await self._put(key, records.encode(quarantined[key]))
             except errors.RecordLimitError as error:
@@ -179,10 +192,11 @@
                     "quarantine_unwritable", detail=error.problem
                 )
             else:
-                listed.add(key)
-        for key in listed - quarantined.keys():
+                listed[key] = key
+        ended = [key for key in listed if listed[key] not in quarantined]
+        for key in ended:
             await self._put(key, _TOMBSTONE)
-            listed.discard(key)
+            listed.pop(key, None)
 
     async def _put(self, key: str, value: bytes) -> None:
         # Logged before the write, so that a write that fails is known as well.
--- a/tests/relay/test_relay_long_keys.py
+++ b/tests/relay/test_relay_long_keys.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay.servers import crashing_parts
 from hoistmoor.core.relay.servers import part_evidence
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.relay import records
 from hoistmoor.relay.peers import peer_codec
 
 if TYPE_CHECKING:
@@ -52,6 +53,25 @@
     )
 
 
+async def test_a_quarantine_that_an_earlier_version_wrote_keeps_its_record(
+    relay: relay_process.RelayProcess,
+) -> None:
+    # Earlier versions name parts of any length in full.
+    part = "f" * 200
+    told = part_evidence.PartQuarantine("llm", (part,), ("s1",), ("v1",))
+    relay.write(QUARANTINES, f"llm {part}", records.encode(told))
+    await relay.until(lambda: bool(relay.lines("part_quarantined")))
+    await relay.send_parts(quarantine("short"))
+    await relay.until(lambda: "llm short" in relay.newest(QUARANTINES))
+    assertions.assert_that(
+        relay.newest(QUARANTINES).keys(),
+        matchers.Equals({f"llm {part}", "llm short"}),
+    )
+    # Removing the record lifts it.
+    relay.write(QUARANTINES, f"llm {part}", b"")
+    await relay.until(lambda: bool(relay.lines("part_lifted")))
+
+
 def failing_version(number: int) -> evidence_lib.Evidence:
     """Returns the counts of a host where a new version always fails."""
     return evidence_lib.Evidence(
