Send crashing parts in long conversations in the soak, and check for failed tasks

The soak's prompts had three parts, so that the key of their quarantine always fitted, and a relay that ended by itself was no violation of its own. Every other prompt with the crashing part now has 40 earlier turns, and an error of a background task or a traceback in a relay's output is a violation.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -49,6 +49,8 @@
 PART_INTERVAL_RANGE = (0.2, 0.8)
 # Prompts of sound requests, and of others that have one more part at any place.
 SOUND_PARTS = ("system:20", "account:10")
+# Earlier turns of a conversation in which every other such prompt stands.
+CONVERSATION = tuple(f"{0xC0DE0000 + turn:08x}:10" for turn in range(40))
 HOT_RELAY_FRACTION = 0.9  # Of the requests, while one relay gets most of them.
 RESTART_DELAY = 0.5  # Seconds until an ended backend server is restarted.
 # Requests of each kind that crash servers which may reach any after recovery.
@@ -182,6 +184,8 @@
                 await asyncio.sleep(rng.uniform(*PART_INTERVAL_RANGE))
                 count += 1
                 parts = list(SOUND_PARTS)
+                if count % 2:
+                    parts += CONVERSATION
                 part = f"{soak_backend.CRASHING_PART}:10"
                 parts.insert(rng.randint(0, len(parts)), part)
                 relay = rng.choice(self.world.relays)
@@ -443,6 +447,7 @@
         violations += soak_cuts.find_violations(
             self.calls, [*self.spans, *self.stops], len(self.world.relays)
         )
+        violations += self.world.failed_tasks()
         crashed = {name for name in runs if name.startswith(CRASHING)}
         for kind in CRASHING:
             late = sum(
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -25,6 +25,7 @@
 START_TIMEOUT = 30.0  # Seconds; processes start slowly on a busy machine.
 REVOKE_MS = 5000
 STOP_GRACE_SECONDS = 8
+TRACEBACK = "Traceback "  # Begins what a process says of an error.
 
 
 # Lies below the ephemeral ports of the system, so that no outgoing connection
@@ -300,6 +301,15 @@
         async with self.session.post(url, params=query) as response:
             response.raise_for_status()
 
+    def failed_tasks(self) -> list[str]:
+        """Returns the relays' lines about errors that ended a task or more."""
+        return [
+            f"{relay.program.name}: {line}"
+            for relay in self.relays
+            for line in relay.program.log.read_text().splitlines()
+            if line.startswith(TRACEBACK) or '"task_failed"' in line
+        ]
+
     def executions(self) -> Iterator[dict[str, Any]]:
         """Yields a line for each request that a backend server executed."""
         return self._lines(b'{"run"')
