--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -49,7 +49,8 @@
 PART_INTERVAL_RANGE = (0.2, 0.8)
 # Prompts of sound requests, and of others that have one more part at any place.
 SOUND_PARTS = ("system:20", "account:10")
-# Earlier turns of a conversation in which every other such prompt stands.
+# Earlier turns of a conversation in which all such prompts of a run with an odd
+# seed stand.
 CONVERSATION = tuple(f"{0xC0DE0000 + turn:08x}:10" for turn in range(40))
 HOT_RELAY_FRACTION = 0.9  # Of the requests, while one relay gets most of them.
 RESTART_DELAY = 0.5  # Seconds until an ended backend server is restarted.
@@ -116,6 +117,7 @@
         self.spans: list[FaultPeriod] = []
         self.stops: list[FaultPeriod] = []
         self.revoked_at = float("inf")
+        self._seed = seed
         self._random = random.Random(seed)
         self._fault_seconds = seconds
         self._faulty = True
@@ -184,7 +186,7 @@
                 await asyncio.sleep(rng.uniform(*PART_INTERVAL_RANGE))
                 count += 1
                 parts = list(SOUND_PARTS)
-                if count % 2:
+                if self._seed % 2:
                     parts += CONVERSATION
                 part = f"{soak_backend.CRASHING_PART}:10"
                 parts.insert(rng.randint(0, len(parts)), part)
