Bound the memory of a message head, of callers below that of servers

A caller's head now has 512 lines of 16 KB at most, 8 MB; what servers and other hosts send may have 1024 lines, of 32 KB from servers, so that a caller's head with the lines that hosts add, and an echo of any of its lines, still pass.

--- a/src/hoistmoor/clients/sessions.py
+++ b/src/hoistmoor/clients/sessions.py
@@ -225,9 +225,9 @@
             "User-Agent",
         ),
         auto_decompress=False,
-        max_line_size=http_limits.MAX_HEADER_LINE,
-        max_field_size=http_limits.MAX_HEADER_LINE,
-        max_headers=http_limits.MAX_HEADERS,
+        max_line_size=http_limits.MAX_RESPONSE_LINE,
+        max_field_size=http_limits.MAX_RESPONSE_LINE,
+        max_headers=http_limits.MAX_LINES,
         response_class=_make_response_class(attempt_header),
         trace_configs=[TRACE],
     )
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -107,9 +107,13 @@
                 handler_cancellation=True,
                 access_log=None,
                 auto_decompress=False,
-                max_line_size=http_limits.MAX_HEADER_LINE,
-                max_field_size=http_limits.MAX_HEADER_LINE,
-                max_headers=http_limits.MAX_HEADERS,
+                max_line_size=http_limits.MAX_REQUEST_LINE,
+                max_field_size=http_limits.MAX_REQUEST_LINE,
+                max_headers=(
+                    http_limits.MAX_CALLER_LINES
+                    if address == settings.listen
+                    else http_limits.MAX_LINES
+                ),
                 keepalive_timeout=3600.0,
             )
             runner = web.ServerRunner(server, shutdown_timeout=0.1)
--- a/src/hoistmoor/relay/store/quarantine.py
+++ b/src/hoistmoor/relay/store/quarantine.py
@@ -35,8 +35,8 @@
 _TOMBSTONE = b""
 
 
-# A quarantine of either kind, as it is stored.
 _T = TypeVar("_T")
+# A quarantine of either kind, as it is stored.
 _Quarantine = suspect_state.Suspect | part_evidence.PartQuarantine
 
 
--- a/src/hoistmoor/relay/versions/rollout_codec.py
+++ b/src/hoistmoor/relay/versions/rollout_codec.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterator, Sequence
 
 # Bytes of one record of counts, far below what a store accepts. The counts of
-# 360 hosts for ten routes have about 300 KB.
+# 360 hosts for ten routes have about 440 KB.
 MAX_REPORT_BYTES = 65_536
 
 
