Write what libraries report to the event log

What callers saw: nothing; found by the probe of malformed headers. Each request that is no HTTP made the server's library write a traceback of 12 lines to standard error: at any rate that callers set, not as an event, and with a call that blocks the process while nobody reads that output.

Messages of libraries of the level of warnings and above are now lines of their own kind (library_message), bounded like all others. The soak counts one with an error as a violation, as it did the traceback.

--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.servers import warmup
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import event_log
+from hoistmoor.relay import library_log
 from hoistmoor.relay import metrics
 from hoistmoor.relay import relay_server
 from hoistmoor.relay import settings_reloader
@@ -302,5 +303,6 @@
         relay = Relay(
             read_settings(), platform, backends, platform_session, read_settings
         )
+        library_log.attach(relay.state.log)
         signals.on_reload(relay.settings_task.reload_requested.set)
         await relay.serve(stop)
--- a/src/hoistmoor/relay/background_tasks.py
+++ b/src/hoistmoor/relay/background_tasks.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
 from typing import Any, TYPE_CHECKING
 
+from hoistmoor.utils import error_place
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Mapping
 
@@ -76,15 +77,6 @@
             "task_failed",
             task=name,
             error=repr(error),
-            place=_innermost_place(error),
+            place=error_place.innermost(error),
             starts_in=delay,
         )
-
-
-def _innermost_place(error: Exception) -> str:
-    """Returns the function and line that raised an error."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    last = frames[-1]
-    return f"{last.filename.rpartition('/')[2]}:{last.lineno} {last.name}"
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -302,12 +302,14 @@
             response.raise_for_status()
 
     def failed_tasks(self) -> list[str]:
-        """Returns the relays' lines about errors that ended a task or more."""
+        """Returns the relays' lines about errors that nothing has handled."""
         return [
             f"{relay.program.name}: {line}"
             for relay in self.relays
             for line in relay.program.log.read_text().splitlines()
-            if line.startswith(TRACEBACK) or '"task_failed"' in line
+            if line.startswith(TRACEBACK)
+            or '"task_failed"' in line
+            or ('"library_message"' in line and '"error":null' not in line)
         ]
 
     def executions(self) -> Iterator[dict[str, Any]]:
