Take a caller that left before its refusal for what it is

What callers saw: nothing, as they had left. Admitted requests handle the same error where they run.

The refusal is logged before it is written, so that nothing else is lost. Test: one error of the server's library before, none after.

--- a/src/hoistmoor/relay/front/http_handlers.py
+++ b/src/hoistmoor/relay/front/http_handlers.py
@@ -203,7 +203,13 @@
             detail=refusal.detail,
             age=round(self._state.lease.age(self._state.clock()), 3),
         )
-        return await answer.refuse(refusal)
+        try:
+            return await answer.refuse(refusal)
+        except ConnectionResetError:
+            # The caller has left; the line says what it would have got.
+            if answer.response is None:
+                raise
+            return answer.response
 
 
 class ReadinessHandler:
--- a/tests/relay/front/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import web
 import pytest
 import relay_parts
 from testtools import assertions
@@ -118,6 +119,21 @@
     assertions.assert_that(backend.requests, matchers.HasLength(0))
 
 
+async def test_a_caller_that_left_before_its_refusal_is_no_error(
+    harness: Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def fail(*_: object) -> None:
+        raise aiohttp.ClientConnectionResetError("the connection is closed")
+
+    monkeypatch.setattr(web.Response, "write_eof", fail)
+    with pytest.raises(aiohttp.ClientError):
+        await harness.call("/nowhere/")
+    errors = [line for line in caplog.records if line.exc_info]
+    assertions.assert_that(errors, matchers.Equals([]))
+
+
 async def test_an_oversized_body_is_not_run(harness: Harness) -> None:
     backend = await harness.add_backend("s1", answer_done)
     size = 4 * 1024 * 1024 + 1
