--- a/src/hoistmoor/relay/event_log.py
+++ b/src/hoistmoor/relay/event_log.py
@@ -19,7 +19,7 @@
 # Sustained rate per kind of event; costs about 1% of a CPU core.
 LINES_PER_SECOND = 100.0
 BURST = 200.0  # Lines per kind of event that may be written at once.
-# Bytes of one line. A server that crashes with 64 requests takes about 8 KB.
+# Bytes of one line, including that of a server that ends with many requests.
 MAX_LINE_BYTES = 16_384
 # Characters of a text, and items of a list, to which a longer line is cut; the
 # first limit with which it fits is used.
--- a/src/hoistmoor/relay/peers/request_handler.py
+++ b/src/hoistmoor/relay/peers/request_handler.py
@@ -22,8 +22,7 @@
 
 # A request with one of these headers is for a server.
 _FORWARDING = frozenset({forward_headers.SERVER, forward_headers.QUESTION})
-# Bytes of one request. That of a host with 50 others behind it, during a
-# roll-out on 100 routes, has about 1 MB.
+# Bytes of one request, which holds the counts of all hosts behind its sender.
 MAX_MESSAGE_BYTES = 4_194_304
 _FOREVER = 1e9  # Seconds; JSON cannot represent infinity.
 
