Judge a version by all its attempts, those that still run included

Cause: a version was judged by the responses that had ended. Hosts that had no average yet counted each response as not slow. 12 responses in total, none of them needed on two of three routes, moved all requests in one step.

Ruled out: a lower factor for slow responses alone (the log has whole responses of 4 to 8 times the average; they end after the decision); the clock of a host (all hosts spread within 0.4 s).

Change: each attempt is timed through stages, first event and pace of a stream or end of a response. Times are counted in buckets, also of attempts that run, were cut or dropped; the distribution is estimated by the life-table method. A log-likelihood ratio weighs the target against a limit set by the other versions. A target spreads only if it is proved in total and on each notable route; missing evidence proves nothing; its share grows step by step; one that is likely bad is withdrawn when time or the operators' share runs out. Slowness is decided on the counts of all hosts, also while the store is away. Counts of earlier builds are read, and they read these. The bounds come from the settings. rollout_verdict and rollout_decided log the evidence of each route and stage.

Tests of one route without durations now have them: 12 responses that nothing is compared with are no proof any more, and a spreading target reaches all requests at 0.75 of the duration.

--- a/src/hoistmoor/core/relay/placement/bounds.py
+++ b/src/hoistmoor/core/relay/placement/bounds.py
@@ -6,6 +6,7 @@
 
 from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import warmup
+from hoistmoor.core.relay.versions import exposure
 
 
 @attrs.frozen
@@ -23,6 +24,7 @@
         rate_tolerance: Tolerance for cold servers above their services' rates.
         longest_rest: Maximum rest in seconds that a server may request from a
             host.
+        exposure_limit: Requests that a bad version may get.
         shares_by_account: Whether service is shared fairly among client
             accounts where room is short.
     """
@@ -36,4 +38,7 @@
         factory=warmup.RateTolerance
     )
     longest_rest: float = rests.MAX_REST_SECONDS
+    exposure_limit: exposure.ExposureLimit = attrs.field(
+        factory=exposure.ExposureLimit
+    )
     shares_by_account: bool = False
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -11,6 +11,7 @@
 from hoistmoor.core.relay.accounts import service_seconds
 from hoistmoor.core.relay.accounts import shares as shares_lib
 from hoistmoor.core.relay.answers import response_times
+from hoistmoor.core.relay.beliefs import configuration
 from hoistmoor.core.relay.course import budget
 from hoistmoor.core.relay.course import retry_after
 from hoistmoor.core.relay.placement import bounds as bounds_lib
@@ -36,9 +37,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from hoistmoor.core.relay.beliefs import configuration
     from hoistmoor.core.relay.course import messages
     from hoistmoor.core.relay.course import requests
+    from hoistmoor.core.relay.versions import attempt_times
     from hoistmoor.core.routing import hashing
     from hoistmoor.core.routing import health as health_lib
 
@@ -117,6 +118,7 @@
         """Applies new bounds and keeps all counters."""
         self._bounds = bounds
         self.rollouts.sessions.life = bounds.session_life
+        self.rollouts.exposure_limit = bounds.exposure_limit
         self.fleet.warmups.tolerance = bounds.rate_tolerance
         self.fleet.longest_rest = bounds.longest_rest
         self.accounts.is_enabled = bounds.shares_by_account
@@ -598,6 +600,24 @@
             self.record_server_end(server, now)
         return newly_ended
 
+    def begin_timing(
+        self, request: requests.RelayRequest, send: messages.Send, now: float
+    ) -> attempt_times.TimedAttempt | None:
+        """Returns an attempt whose times a rollout compares, or None.
+
+        Args:
+            request: The request.
+            send: The attempt, which starts now.
+            now: Monotonic time.
+        """
+        return self.rollouts.begin_attempt(
+            request.service,
+            request.route.name,
+            send.server.entry.version,
+            now,
+            is_stream=request.route.kind is configuration.RouteKind.STREAM,
+        )
+
     def record_response(
         self,
         request: requests.RelayRequest,
--- a/src/hoistmoor/core/relay/versions/evidence.py
+++ b/src/hoistmoor/core/relay/versions/evidence.py
@@ -7,8 +7,11 @@
 
 import attrs
 
+from hoistmoor.core.relay.versions import attempt_times
+from hoistmoor.core.relay.versions import durations as durations_lib
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
 # Responses of the target version required for the test: fewer may all come from
 # a single failing server.
@@ -42,18 +45,41 @@
             model, and requests that timed out without a response.
         failures: Responses that report a server failure.
         slow: Responses that took several times the average time, or never
-            started.
+            started. Only hosts of earlier versions judge by it.
+        durations: Times of all attempts, including those that still run, by
+            stage. Hosts of earlier versions send none.
     """
 
     answers: int = 0
     failures: int = 0
     slow: int = 0
+    durations: dict[str, durations_lib.Durations] = attrs.field(factory=dict)
 
     def add(self, other: Tally) -> None:
         """Adds the counts of another host."""
         self.answers += other.answers
         self.failures += other.failures
         self.slow += other.slow
+        durations_lib.add_all(self.durations, other.durations)
+
+    @property
+    def attempts(self) -> int:
+        """Number of attempts whose times are known."""
+        return sum(each.total for each in self._first_stages())
+
+    @property
+    def served(self) -> int:
+        """Number of attempts that got a response, or its first part.
+
+        Hosts of earlier versions only count complete responses.
+        """
+        reached = sum(each.total_reached for each in self._first_stages())
+        return max(reached, self.answers - self.failures)
+
+    def _first_stages(self) -> Iterator[durations_lib.Durations]:
+        for stage in attempt_times.FIRST_STAGES:
+            if stage in self.durations:
+                yield self.durations[stage]
 
 
 @attrs.frozen
@@ -73,24 +99,31 @@
         number: Number of the rollout order.
         host: Name of the host and its process.
         routes: Counts by route name.
+        taken_at: Seconds since that process read the order, at which the counts
+            were taken; 0 from hosts of earlier versions.
     """
 
     service: str
     number: int
     host: str
     routes: dict[str, RouteEvidence] = attrs.field(factory=dict)
+    taken_at: float = 0.0
 
     @property
-    def target_responses(self) -> int:
-        """Number of responses of the target version."""
-        return sum(route.target.answers for route in self.routes.values())
+    def has_target(self) -> bool:
+        """Whether any attempt went to the target version."""
+        return any(
+            route.target.answers or route.target.attempts
+            for route in self.routes.values()
+        )
 
 
 class EvidenceRegistry:
     """Newest counts of each process of each host.
 
-    Counts only increase, so of two copies the one with more responses is newer,
-    regardless of how each was received.
+    Of two copies, the one taken later is newer, regardless of how each was
+    received. If that is unknown, it is the one with more responses, as these
+    only increase.
     """
 
     def __init__(self) -> None:
@@ -117,12 +150,12 @@
         ]
 
 
-def _recency(evidence: Evidence) -> tuple[int, int]:
+def _recency(evidence: Evidence) -> tuple[int, float, int]:
     answers = sum(
         route.target.answers + route.others.answers
         for route in evidence.routes.values()
     )
-    return evidence.number, answers
+    return evidence.number, evidence.taken_at, answers
 
 
 def pool_evidence(all_evidence: list[Evidence]) -> dict[str, RouteEvidence]:
@@ -159,7 +192,7 @@
 
 
 def is_bad(routes: Mapping[str, RouteEvidence]) -> bool:
-    """Returns whether the target performs worse than the other versions.
+    """Returns whether the target fails more often than the other versions.
 
     A version may be bad on a single route, and a trial yields few responses.
     The test is therefore applied to each route and to the total: nine failures
@@ -197,8 +230,6 @@
         others.failures,
         others.answers,
         threshold,
-    ) or _is_rate_higher(
-        target.slow, target.answers, others.slow, others.answers, threshold
     )
 
 
--- a/src/hoistmoor/core/relay/versions/phases.py
+++ b/src/hoistmoor/core/relay/versions/phases.py
@@ -15,14 +15,20 @@
 
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import exposure as exposure_lib
+from hoistmoor.core.relay.versions import verdicts
 
-SPREAD_AT = 0.6  # Fraction of the duration after which all requests move.
+# Fractions of the duration between which the share of the target version grows
+# to all requests, once it is found sound.
+SPREAD_AT = 0.6
+ALL_AT = 0.75
 COMPLETE_AT = 0.85  # Fraction after which the old version is retired.
-# Target responses, over all hosts, before all requests move.
-MIN_TARGET_RESPONSES = 12
+# Fraction after which a target in trial that is likely bad is withdrawn.
+DECIDE_AT = 0.9
 # Seconds after its last counts record for which a host takes part in the turns.
 ACTIVE_SECONDS = 8.0
 TURN_SECONDS = 0.6  # Seconds that a host waits for each host ahead of it.
+UNKNOWN_EXPOSURE = exposure_lib.Exposure()
 
 
 class Phase(enum.StrEnum):
@@ -105,6 +111,14 @@
         return self.number < other.number
 
 
+# The phase that follows, the fraction of the duration at which it begins, and
+# the verdict it requires. A target that spreads was proved on each route.
+_NEXT_PHASES = {
+    Phase.TRIAL: (Phase.SPREAD, SPREAD_AT, verdicts.Verdict.SOUND),
+    Phase.SPREAD: (Phase.COMPLETE, COMPLETE_AT, verdicts.Verdict.LIKELY_SOUND),
+}
+
+
 def _is_same_order(number: int, other: int) -> bool:
     return (
         topics.place_from_serial(number).offset
@@ -116,6 +130,7 @@
     phase: Phase,
     pooled: dict[str, evidence_lib.RouteEvidence],
     elapsed: float,
+    exposure: exposure_lib.Exposure = UNKNOWN_EXPOSURE,
     *,
     is_doubted: bool = False,
 ) -> Phase | None:
@@ -125,27 +140,50 @@
         phase: Current phase.
         pooled: Counts of all hosts, by route.
         elapsed: Fraction of the duration that has passed, from 0.
+        exposure: Requests that the target has got and may get.
         is_doubted: Whether the target was found bad before. It has received no
             requests since then, so its counts cannot improve.
     """
     if phase.is_final:
         return None
-    if is_doubted or evidence_lib.is_bad(pooled):
+    verdict = verdicts.judge(pooled)
+    if is_doubted or verdict is verdicts.Verdict.BAD:
         return Phase.REVERTED
-    if evidence_lib.is_doubtful(pooled):
-        return None
-    answers = sum(route.target.answers for route in pooled.values())
-    if (
-        phase is Phase.TRIAL
-        and elapsed >= SPREAD_AT
-        and answers >= MIN_TARGET_RESPONSES
-    ):
-        return Phase.SPREAD
-    if phase is Phase.SPREAD and elapsed >= COMPLETE_AT:
-        return Phase.COMPLETE
+    is_last_chance = _is_last_chance(phase, elapsed, exposure)
+    if is_last_chance and verdict is verdicts.Verdict.LIKELY_BAD:
+        return Phase.REVERTED
+    following, begin, required = _NEXT_PHASES[phase]
+    if elapsed >= begin and verdict >= required:
+        return following
     return None
 
 
+def _is_last_chance(
+    phase: Phase, elapsed: float, exposure: exposure_lib.Exposure
+) -> bool:
+    """Returns whether a target that is likely bad must be withdrawn."""
+    if phase is Phase.TRIAL:
+        return elapsed >= DECIDE_AT
+    return not exposure.allows(exposure_lib.REACTION_SECONDS)
+
+
+def target_share(phase: Phase, trial_share: float, elapsed: float) -> float:
+    """Returns the fraction of sessions that use the target version.
+
+    It depends on the age of the order alone, so that hosts agree on it. A phase
+    that begins late has a higher share from its start.
+
+    Args:
+        phase: Current phase.
+        trial_share: Fraction of the sessions during the trial.
+        elapsed: Fraction of the duration that has passed, from 0.
+    """
+    if phase is not Phase.SPREAD:
+        return trial_share
+    progress = (elapsed - SPREAD_AT) / (ALL_AT - SPREAD_AT)
+    return trial_share + (1.0 - trial_share) * min(1.0, max(0.0, progress))
+
+
 def turn_delay(host: str, hosts: list[str], number: int) -> float:
     """Returns the delay in seconds before ``host`` writes a phase."""
     return turn_rank(host, hosts, number) * TURN_SECONDS
--- a/src/hoistmoor/core/relay/versions/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -5,12 +5,14 @@
 import attrs
 
 from hoistmoor.core.relay.beliefs import store_era
+from hoistmoor.core.relay.versions import attempt_times
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import exposure as exposure_lib
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.relay.versions import progress as progress_lib
 from hoistmoor.core.relay.versions import sessions as sessions_lib
 
-# Maximum fraction of the requests of a service in a trial.
+# Fraction of the requests without a session that a trial gets, at most.
 TRIAL_FRACTION = 0.1
 SLOW_FACTOR = 3.5  # Multiple of the average duration that counts as slow.
 
@@ -29,6 +31,7 @@
         sessions: Versions used by sessions.
         progress: Newest rollout by service.
         withdrawn: Reverted versions by service.
+        exposure_limit: Requests that a bad version may get.
     """
 
     def __init__(self, session_life: float) -> None:
@@ -41,6 +44,7 @@
         self.sessions = sessions_lib.SessionVersions(session_life)
         self.progress: dict[str, progress_lib.Progress] = {}
         self.withdrawn: dict[str, set[str]] = {}
+        self.exposure_limit = exposure_lib.ExposureLimit()
         self._phases: dict[tuple[str, str], phases.PhaseRecord] = {}
         # Newest completed rollout by service.
         self._complete: dict[str, phases.PhaseRecord] = {}
@@ -114,15 +118,22 @@
             progress.phase = record.phase
         return known != record
 
-    def counted(self, run_name: str) -> tuple[evidence_lib.Evidence, ...]:
+    def counted(
+        self, run_name: str, now: float
+    ) -> tuple[evidence_lib.Evidence, ...]:
         """Returns the counts of this host for all running rollouts.
 
         Args:
             run_name: Unique name of this process of this host.
+            now: Monotonic time.
         """
         return tuple(
             evidence_lib.Evidence(
-                each.order.service, each.order.number, run_name, each.counts
+                each.order.service,
+                each.order.number,
+                run_name,
+                each.current_counts(now),
+                now - each.read_at,
             )
             for each in self.progress.values()
             if not each.phase.is_final
@@ -205,20 +216,20 @@
         if progress is None:
             return allowed
         target = {progress.order.target}
-        is_spread = progress.phase is phases.Phase.SPREAD
-        is_complete = progress.phase is phases.Phase.COMPLETE
-        if is_complete or (is_spread and not progress.is_stopped()):
+        if progress.phase is phases.Phase.COMPLETE:
             return target & versions or allowed
         others = self._established(service, allowed - target)
-        if is_spread:
-            return others or allowed
-        is_trial = progress.phase is phases.Phase.TRIAL
-        may_join = is_trial and progress.order.target not in failed
-        if may_join and self._may_join_trial(progress, versions, session, now):
+        is_spread = progress.phase is phases.Phase.SPREAD
+        if is_spread and not others:
+            return allowed
+        may_join = not progress.phase.is_final and (
+            is_spread or progress.order.target not in failed
+        )
+        if may_join and self._may_use_target(progress, versions, session, now):
             return target
         return others
 
-    def _may_join_trial(
+    def _may_use_target(
         self,
         progress: progress_lib.Progress,
         versions: set[str],
@@ -229,18 +240,56 @@
         if target not in versions or progress.is_stopped():
             return False
         if session:
-            known = self.sessions.version_of(session, now)
-            if known is not None:
-                return known == target
-            # This must not depend on the counts of this host, because the next
-            # request of the session may arrive at another host.
-            return progress.elapsed(
-                now
-            ) >= sessions_lib.SESSIONS_JOIN_AT and sessions_lib.is_selected(
-                session, progress.order.service, target
+            return self._may_session_use_target(progress, session, now)
+        if progress.phase is phases.Phase.SPREAD:
+            return progress.takes_next_request(
+                phases.target_share(
+                    progress.phase, TRIAL_FRACTION, progress.elapsed(now)
+                )
             )
         return progress.sent_target < TRIAL_FRACTION * progress.sent
 
+    def _may_session_use_target(
+        self, progress: progress_lib.Progress, session: str, now: float
+    ) -> bool:
+        target = progress.order.target
+        known = self.sessions.version_of(session, now)
+        is_trial = progress.phase is phases.Phase.TRIAL
+        if known is not None and (is_trial or known == target):
+            return known == target
+        # This must not depend on the counts of this host, because the next
+        # request of the session may arrive at another host.
+        elapsed = progress.elapsed(now)
+        if not is_trial:
+            # A host that has just started measures from its own start.
+            elapsed = max(elapsed, phases.SPREAD_AT)
+        share = phases.target_share(
+            progress.phase,
+            self.exposure_limit.share / (1.0 - sessions_lib.SESSIONS_JOIN_AT),
+            elapsed,
+        )
+        return (
+            elapsed >= sessions_lib.SESSIONS_JOIN_AT
+            and sessions_lib.is_selected(
+                session, progress.order.service, target, share
+            )
+        )
+
+    def begin_attempt(
+        self,
+        service: str,
+        route: str,
+        version: str,
+        now: float,
+        *,
+        is_stream: bool,
+    ) -> attempt_times.TimedAttempt | None:
+        """Returns a new attempt whose times a rollout compares, or None."""
+        progress = self.progress.get(service)
+        if progress is None or progress.phase.is_final:
+            return None
+        return progress.begin_attempt(route, version, now, is_stream=is_stream)
+
     def record_sent(
         self, service: str, version: str, session: str, now: float
     ) -> None:
@@ -250,5 +299,4 @@
         progress = self.progress.get(service)
         if progress is None:
             return
-        progress.sent += 1
-        progress.sent_target += version == progress.order.target
+        progress.record_sent(version)
--- a/src/hoistmoor/core/relay/versions/sessions.py
+++ b/src/hoistmoor/core/relay/versions/sessions.py
@@ -9,22 +9,25 @@
 # the previous version of a session: with 195 hosts, consecutive requests of a
 # session rarely arrive at the same one.
 SESSIONS_JOIN_AT = 0.52
-# Fraction of the sessions that may join, selected by a hash that all hosts
-# share. If most requests belong to sessions, the remaining ones yield few
-# responses: a deployment with 15 model requests per second reached 20 target
-# responses at 0.96 of the duration with a fifth of the sessions, and reaches 12
-# at 0.65 with this value.
-SESSION_FRACTION = 0.35
 
 
-def is_selected(session: str, service: str, target: str) -> bool:
-    """Returns whether a session may join the trial of a version.
+def is_selected(
+    session: str, service: str, target: str, fraction: float
+) -> bool:
+    """Returns whether a session may use the target version.
 
-    The hash does not include the order number, which changes if the order is
-    written again.
+    All hosts share the hash that selects sessions. It does not include the
+    order number, which changes if the order is written again.
+
+    Args:
+        session: Name of the session.
+        service: Service that is rolled out.
+        target: Version that is rolled out.
+        fraction: Fraction of the sessions to select. Those selected at one
+            fraction are also selected at any higher one.
     """
     digest = xxhash.xxh64_intdigest(f"{service} {target} {session}".encode())
-    return digest < SESSION_FRACTION * (1 << 64)
+    return digest < fraction * (1 << 64)
 
 
 class SessionVersions:
--- a/src/hoistmoor/platform/settings.py
+++ b/src/hoistmoor/platform/settings.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.core import errors
 from hoistmoor.core.relay.servers import rests
+from hoistmoor.core.relay.versions import exposure
 from hoistmoor.platform import store as store_lib
 from hoistmoor.relay import settings as relay_settings
 
@@ -64,6 +65,8 @@
         repeat_slack=bounds.get("budget_slack"),
         repeat_window=bounds["retry_window_s"],
         session_life=bounds["session_s"],
+        exposure_share=bounds.get("canary_share", exposure.DEFAULT_SHARE),
+        exposure_tolerance=bounds.get("canary_tolerance", 0.0),
         warmup_factor=bounds.get("warmup_overshoot", 1.0),
         warmup_spare=bounds.get("warmup_tolerance", 0.0),
         longest_rest=float(
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -15,6 +15,7 @@
 from hoistmoor.core.relay.placement import bounds as bounds_lib
 from hoistmoor.core.relay.placement import router as router_lib
 from hoistmoor.core.relay.servers import warmup
+from hoistmoor.core.relay.versions import exposure
 from hoistmoor.core.routing import hashing
 from hoistmoor.relay import event_log
 from hoistmoor.relay import library_log
@@ -262,6 +263,9 @@
         repeat_spare=settings.repeat_spare,
         repeat_slack=settings.repeat_slack,
         session_life=settings.session_life,
+        exposure_limit=exposure.ExposureLimit(
+            settings.exposure_share, settings.exposure_tolerance
+        ),
         rate_tolerance=warmup.RateTolerance(
             settings.warmup_factor, settings.warmup_spare
         ),
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -11,6 +11,7 @@
 from hoistmoor.core.relay.answers import response_times
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.links import forwarders
+from hoistmoor.core.relay.versions import attempt_times
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -94,6 +95,7 @@
         notices: The server's notices against new requests at the time of the
             attempt, by kind.
         load: Load of the server at the time of the attempt.
+        timed: Its times, if a rollout compares them.
     """
 
     send: messages.Send
@@ -117,6 +119,7 @@
     is_reached_by_others: bool = False
     notices: dict[str, str] = attrs.field(factory=dict)
     load: float = 0.0
+    timed: attempt_times.TimedAttempt | None = None
     _is_proven: bool = False
 
     def proves_served(self) -> bool:
@@ -140,6 +143,26 @@
             )
         self.latest_event_at = now
 
+    def record_delivered(self, events: int, now: float) -> None:
+        """Records the number of events of the stream delivered so far.
+
+        Args:
+            events: Events by this attempt and by earlier ones.
+            now: Monotonic time.
+        """
+        self.record_events(now)
+        if self.timed is not None:
+            self.timed.record_events(events - self.events_before, now)
+
+    def record_end(self, state: outcomes.ExchangeState, now: float) -> None:
+        """Records the end of the attempt for a rollout that compares it."""
+        if self.timed is None:
+            return
+        is_served = (
+            state is _State.ANSWERED and self.status < _MIN_FAILURE_STATUS
+        )
+        self.timed.record_end(now, is_served=is_served)
+
     def latency_summary(self) -> str:
         """Returns a stream's time to first event and longest pause."""
         if self.first is None:
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -187,6 +187,7 @@
         attempt = self._open_attempt(send)
         outcome = response_times.AttemptOutcome.LEFT
         self._current = attempt
+        state = attempt.exchange.state
         try:
             state = await self._exchange_until_deadline(attempt)
             state = await self._record_path(attempt, state)
@@ -196,6 +197,7 @@
             send.run.is_finished = state in _FINISHED
             send.run.is_cut = attempt.is_cut
         finally:
+            attempt.record_end(state, self._now())
             attempt.exchange.cancel()
             if send.forwarder is not None:
                 self._state.router.fleet.forwarders.record_end(
@@ -300,6 +302,7 @@
             events_before=self._sequence.events,
             notices=notices,
             load=self._state.router.waiting.load_at(send.server, now),
+            timed=self._state.router.begin_timing(self._request, send, now),
         )
 
     async def _exchange_until_deadline(
@@ -474,7 +477,7 @@
         attempt.send.run.record_part()
         if attempt.first is None:
             self._record_delay(attempt)
-        attempt.record_events(self._now())
+        attempt.record_delivered(self._sequence.events, self._now())
         if attempt.proves_served():
             self._state.record_served(self._request, attempt.send)
         if self._answer.response is None:
--- a/src/hoistmoor/relay/records.py
+++ b/src/hoistmoor/relay/records.py
@@ -14,6 +14,7 @@
 from hoistmoor.core.relay.beliefs import topics
 from hoistmoor.core.relay.servers import limits
 from hoistmoor.core.relay.servers import outstanding
+from hoistmoor.core.relay.versions import durations
 
 # Compressed values to cache: a host sends the same few values to every peer.
 # A configuration of 50 routes has about 20 KB, and links carry 0.6 to 1.2 MB/s.
@@ -46,6 +47,16 @@
     return limits.GossipedLimit(known, int(turn), float(age))
 
 
+def _structure_durations(
+    counts: tuple[dict[int, int], dict[int, int]], _: object
+) -> durations.Durations:
+    reached, unreached = (
+        {int(bucket): int(count) for bucket, count in each.items()}
+        for each in counts
+    )
+    return durations.Durations(reached, unreached)
+
+
 def _structure_place(numbers: tuple[int, int], _: object) -> topics.Place:
     era, offset = numbers
     return topics.Place(int(era), int(offset))
@@ -54,11 +65,15 @@
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter()
     # Encoded as arrays to save bandwidth: hosts exchange a thousand servers'
-    # entries three times a second.
+    # entries, or the durations of hundreds of hosts, three times a second.
     converter.register_unstructure_hook(outstanding.ServerWork, attrs.astuple)
     converter.register_structure_hook(outstanding.ServerWork, _structure_work)
     converter.register_unstructure_hook(limits.GossipedLimit, attrs.astuple)
     converter.register_structure_hook(limits.GossipedLimit, _structure_limit)
+    converter.register_unstructure_hook(
+        durations.Durations, lambda each: (each.reached, each.unreached)
+    )
+    converter.register_structure_hook(durations.Durations, _structure_durations)
     converter.register_unstructure_hook(topics.Place, tuple)
     converter.register_structure_hook(topics.Place, _structure_place)
     converter.register_unstructure_hook(bytes, _compress)
--- a/src/hoistmoor/relay/settings.py
+++ b/src/hoistmoor/relay/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hoistmoor.core.relay.servers import rests
+from hoistmoor.core.relay.versions import exposure
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +39,9 @@
             once. For a longer one, it has to repeat the request.
         link: Bandwidth of this host's link in Mbit/s; 0 if unknown.
         memory: Bytes of memory that this host may use; 0 if not known.
+        exposure_share: Fraction of a service's requests, from the order of a
+            rollout to its time limit, that a bad version may get.
+        exposure_tolerance: Requests that it may get in addition.
         shares_by_account: Whether service is shared fairly among client
             accounts where room is short.
         has_slow_peers: Whether callers and backend servers may read slowly, so
@@ -64,6 +68,8 @@
     longest_rest: float = rests.MAX_REST_SECONDS
     link: float = 0.0
     memory: int = 0
+    exposure_share: float = exposure.DEFAULT_SHARE
+    exposure_tolerance: float = 0.0
     shares_by_account: bool = False
     has_slow_peers: bool = False
     is_first_start: bool = False
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -21,6 +21,7 @@
 from hoistmoor.core.relay.servers import server as server_lib
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import verdicts
 from hoistmoor.relay import event_log
 from hoistmoor.relay import metrics as metrics_lib
 from hoistmoor.relay import reading_monitor as reading_monitor_lib
@@ -268,7 +269,7 @@
         Covers only rollouts in progress.
         """
         rollouts = self.router.rollouts
-        for evidence in rollouts.counted(self.run_name):
+        for evidence in rollouts.counted(self.run_name, self.clock()):
             self.evidence.merge(evidence)
         return tuple(
             evidence
@@ -284,6 +285,9 @@
     ) -> tuple[int, ...]:
         """Marks failing rollouts as doubted.
 
+        Whether a version is slow is decided on the counts of all hosts
+        (``doubt_order``): those of a few hosts are of a few servers.
+
         Args:
             told: Order numbers that another host reported as doubted.
 
@@ -303,18 +307,39 @@
             if evidence_lib.is_bad(counts)
         ]
         for number in (*told, *found):
-            doubted = rollouts.mark_doubted(number)
-            if doubted is not None:
-                self.log_change(
-                    "rollout_doubted",
-                    service=doubted.order.service,
-                    target=doubted.order.target,
-                    number=number,
-                    told=number in told,
-                    counts=evidence_lib.format_counts(pooled.get(number, {})),
-                )
+            self.doubt_order(
+                number, pooled.get(number, {}), is_told=number in told
+            )
         return rollouts.doubts()
 
+    def doubt_order(
+        self,
+        number: int,
+        counts: dict[str, evidence_lib.RouteEvidence],
+        *,
+        is_told: bool = False,
+    ) -> None:
+        """Marks a rollout as doubted, and informs peers of it.
+
+        Args:
+            number: Number of its order.
+            counts: Counts that this host knows, by route name.
+            is_told: Whether another host found the version bad.
+        """
+        doubted = self.router.rollouts.mark_doubted(number)
+        if doubted is None:
+            return
+        self.has_urgent_changes.set()
+        self.log_change(
+            "rollout_doubted",
+            service=doubted.order.service,
+            target=doubted.order.target,
+            number=number,
+            told=is_told,
+            counts=evidence_lib.format_counts(counts),
+            findings=verdicts.format_findings(counts),
+        )
+
     def unavailable_duration(self) -> float:
         """Returns the seconds for which requests with a key are not served.
 
--- a/src/hoistmoor/relay/versions/rollout_task.py
+++ b/src/hoistmoor/relay/versions/rollout_task.py
@@ -12,8 +12,10 @@
 from hoistmoor.core import errors
 from hoistmoor.core.relay.beliefs import record_keys
 from hoistmoor.core.relay.versions import evidence as evidence_lib
+from hoistmoor.core.relay.versions import exposure as exposure_lib
 from hoistmoor.core.relay.versions import phases as phases_lib
 from hoistmoor.core.relay.versions import progress as progress_lib
+from hoistmoor.core.relay.versions import verdicts
 from hoistmoor.relay.store import follower as follower_lib
 from hoistmoor.relay.versions import rollout_codec
 from hoistmoor.relay.versions import rollout_listeners
@@ -25,6 +27,8 @@
     from hoistmoor.relay.store import ports
     from hoistmoor.relay.store import store_gate
 
+_Counts = dict[str, evidence_lib.RouteEvidence]
+
 # Seconds between two checks; a rollback may take five seconds.
 POLL_INTERVAL = 1.0
 
@@ -68,8 +72,10 @@
             gate=gate,
         )
         self._due_since: dict[phases_lib.PhaseRecord, float] = {}
-        # Number of answers in the last report on each order.
-        self._reported: dict[phases_lib.Order, int] = {}
+        # Counts in the last report on each order.
+        self._reported: dict[phases_lib.Order, list[_Counts]] = {}
+        # Latest logged verdict on each order.
+        self._verdicts: dict[phases_lib.Order, verdicts.Verdict] = {}
         self._status_written: dict[str, phases_lib.PhaseRecord] = {}
         # Orders with records that do not fit the store's format.
         self._unwritable: set[phases_lib.Order] = set()
@@ -78,16 +84,18 @@
         """Advances all rollouts until cancelled."""
         while True:
             await asyncio.sleep(POLL_INTERVAL)
-            # During an outage, every host would otherwise call the store once
-            # a second.
-            if self._state.source or not self._gate.is_available:
+            if self._state.source:
                 continue
             active = [
                 progress
                 for progress in self._state.router.rollouts.progress.values()
                 if not self._is_settled(progress)
             ]
-            if not active:
+            for progress in active:
+                self._doubt(progress)
+            # During an outage, every host would otherwise call the store once
+            # a second.
+            if not active or not self._gate.is_available:
                 continue
             try:
                 await self._process(active)
@@ -96,6 +104,26 @@
             except errors.HoistmoorError as error:
                 self._state.log.write("rollout_waits", detail=error.problem)
 
+    def _doubt(self, progress: progress_lib.Progress) -> None:
+        """Stops requests to a target that the counts of all hosts show bad.
+
+        This does not wait for the store, which may be slow or away.
+        """
+        if progress.phase.is_final:
+            return
+        for evidence in self._state.collect_evidence():
+            self._evidence_listener.book.merge(evidence)
+        pooled = self._pool(progress)
+        if verdicts.judge(pooled) is verdicts.Verdict.BAD:
+            self._state.doubt_order(progress.order.number, pooled)
+
+    def _pool(self, progress: progress_lib.Progress) -> _Counts:
+        """Returns the counts of all hosts."""
+        order = progress.order
+        return evidence_lib.pool_evidence(
+            self._evidence_listener.book.for_order(order.service, order.number)
+        )
+
     def _is_settled(self, progress: progress_lib.Progress) -> bool:
         written = self._status_written.get(progress.order.service)
         return (
@@ -151,8 +179,10 @@
             for evidence in state.collect_evidence()
             if evidence.service == order.service
         ]
-        answers = sum(each.target_responses for each in known)
-        if self._reported.get(order, 0) == answers:
+        counts = [each.routes for each in known]
+        if self._reported.get(order) == counts:
+            return
+        if not any(each.has_target for each in known):
             return
         for evidence in known:
             self._evidence_listener.book.merge(evidence)
@@ -162,7 +192,7 @@
             name = f"{order.service}/{state.run_name}"
             key = f"{name}/{number}" if number else name
             await self._topics.evidence.put(record_keys.bound(key), report)
-        self._reported[order] = answers
+        self._reported[order] = counts
 
     def _has_order(self, progress: progress_lib.Progress) -> bool:
         """Returns whether the store's newest era has the order."""
@@ -214,12 +244,21 @@
 
     async def _advance(self, progress: progress_lib.Progress) -> None:
         order = progress.order
-        pooled = evidence_lib.pool_evidence(
-            self._evidence_listener.book.for_order(order.service, order.number)
-        )
+        pooled = self._pool(progress)
         elapsed = progress.elapsed(self._state.clock())
+        self._log_verdict(progress, pooled, elapsed)
+        exposure = exposure_lib.measure(
+            pooled,
+            self._state.router.rollouts.exposure_limit,
+            elapsed * order.duration,
+            order.duration,
+        )
         phase = phases_lib.next_phase(
-            progress.phase, pooled, elapsed, is_doubted=progress.is_doubted
+            progress.phase,
+            pooled,
+            elapsed,
+            exposure,
+            is_doubted=progress.is_doubted,
         )
         if phase is None or not self._is_my_turn(progress, phase):
             return
@@ -233,11 +272,38 @@
             phase=phase.value,
             elapsed=round(elapsed, 3),
             counts=evidence_lib.format_counts(pooled),
+            findings=verdicts.format_findings(pooled),
+            exposed=exposure.used,
+            allowed=round(exposure.allowed, 1),
             written=is_written,
         )
         if is_written:
             self._state.router.rollouts.apply_phase(record)
 
+    def _log_verdict(
+        self,
+        progress: progress_lib.Progress,
+        pooled: _Counts,
+        elapsed: float,
+    ) -> None:
+        """Logs a verdict that differs from the one before."""
+        order = progress.order
+        verdict = verdicts.judge(pooled)
+        if self._verdicts.get(order) is verdict:
+            return
+        self._verdicts[order] = verdict
+        self._state.log_change(
+            "rollout_verdict",
+            service=order.service,
+            target=order.target,
+            number=order.number,
+            phase=progress.phase.value,
+            elapsed=round(elapsed, 3),
+            verdict=verdict.name.lower(),
+            counts=evidence_lib.format_counts(pooled),
+            findings=verdicts.format_findings(pooled),
+        )
+
     def _is_my_turn(
         self, progress: progress_lib.Progress, phase: phases_lib.Phase
     ) -> bool:
--- a/tests/core/relay/versions/test_relay_rollouts.py
+++ b/tests/core/relay/versions/test_relay_rollouts.py
@@ -6,6 +6,8 @@
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.core.relay.versions import attempt_times
+from hoistmoor.core.relay.versions import durations
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases
 from hoistmoor.core.relay.versions import rollouts
@@ -28,14 +30,20 @@
     return made
 
 
+def tally(answers: int, failures: int, slow: int) -> evidence_lib.Tally:
+    """Returns counts of plain responses that take 0.3 s, or 3 s if slow."""
+    times = durations.Durations()
+    for number in range(answers - failures):
+        times.record_reached(3.0 if number < slow else 0.3)
+    return evidence_lib.Tally(
+        answers, failures, slow, {attempt_times.Stage.RESPONSE.value: times}
+    )
+
+
 def evidence(
     target: tuple[int, int, int], others: tuple[int, int, int]
 ) -> dict[str, evidence_lib.RouteEvidence]:
-    return {
-        "chat": evidence_lib.RouteEvidence(
-            evidence_lib.Tally(*target), evidence_lib.Tally(*others)
-        )
-    }
+    return {"chat": evidence_lib.RouteEvidence(tally(*target), tally(*others))}
 
 
 def send(
@@ -158,6 +166,7 @@
     assertions.assert_that(moved, matchers.Equals({"v1"}))
 
 
+@pytest.mark.parametrize("session", ["", "s"])
 @pytest.mark.parametrize(
     ("phase", "expected"),
     [
@@ -167,13 +176,61 @@
     ],
 )
 def test_versions_allowed_in_each_phase(
-    registry: rollouts.RolloutRegistry, phase: Phase, expected: set[str]
+    registry: rollouts.RolloutRegistry,
+    phase: Phase,
+    expected: set[str],
+    session: str,
 ) -> None:
     registry.apply_phase(record(phase))
-    chosen = registry.allowed_versions("llm", BOTH, "", NONE, 1.0)
+    now = phases.ALL_AT * ORDER.duration
+    chosen = registry.allowed_versions("llm", BOTH, session, NONE, now)
     assertions.assert_that(chosen, matchers.Equals(expected))
 
 
+@pytest.mark.parametrize("has_sessions", [False, True])
+def test_target_gets_more_requests_step_by_step_while_it_spreads(
+    registry: rollouts.RolloutRegistry, has_sessions: bool
+) -> None:
+    registry.apply_phase(record(Phase.SPREAD))
+    shares = []
+    for elapsed in (phases.SPREAD_AT, 0.65, 0.7, phases.ALL_AT):
+        now = elapsed * ORDER.duration
+        versions = [
+            send(registry, 1, f"{now} {number}" if has_sessions else "", now)[0]
+            for number in range(400)
+        ]
+        shares.append(versions.count("v2") / len(versions))
+    assertions.assert_that(shares[0], matchers.LessThan(0.45))
+    assertions.assert_that(shares, matchers.Equals(sorted(shares)))
+    assertions.assert_that(shares[1], matchers.LessThan(0.75))
+    assertions.assert_that(shares[-1], matchers.Equals(1.0))
+
+
+def test_session_that_uses_a_spreading_target_keeps_it(
+    registry: rollouts.RolloutRegistry,
+) -> None:
+    registry.apply_phase(record(Phase.SPREAD))
+    now = phases.SPREAD_AT * ORDER.duration
+    for number in range(200):
+        registry.record_sent("llm", "v2", f"session {number}", now)
+    for number in range(200):
+        chosen = registry.allowed_versions(
+            "llm", BOTH, f"session {number}", NONE, now + 0.1
+        )
+        assertions.assert_that(chosen, matchers.Equals({"v2"}))
+
+
+def test_host_started_while_a_target_spreads_sends_it_sessions() -> None:
+    late = rollouts.RolloutRegistry(session_life=5.0)
+    late.apply_phase(record(Phase.SPREAD))
+    late.apply_order(ORDER, 12.0)
+    chosen = [
+        late.allowed_versions("llm", BOTH, f"session {number}", NONE, 12.1)
+        for number in range(200)
+    ]
+    assertions.assert_that(chosen.count({"v2"}), matchers.GreaterThan(30))
+
+
 def test_withdrawn_version_is_excluded_from_the_next_rollout(
     registry: rollouts.RolloutRegistry,
 ) -> None:
@@ -226,7 +283,9 @@
         ((30, 0, 0), (300, 0, 0), 0.7, Phase.SPREAD),
         # Without any response, the target must not spread.
         ((0, 0, 0), (300, 0, 0), 0.99, None),
-        ((phases.MIN_TARGET_RESPONSES - 1, 0, 0), (300, 0, 0), 0.99, None),
+        ((5, 0, 0), (300, 0, 0), 0.99, None),
+        # Without responses of the other version, nothing proves the target.
+        ((30, 0, 0), (0, 0, 0), 0.99, None),
         ((12, 6, 0), (100, 0, 0), 0.1, Phase.REVERTED),
         ((12, 0, 8), (100, 0, 0), 0.1, Phase.REVERTED),
         # The failure rate of the target equals the baseline.
@@ -346,15 +405,11 @@
     one = evidence_lib.Evidence("llm", 7, "a", evidence((1, 1, 0), (2, 0, 1)))
     two = evidence_lib.Evidence("llm", 7, "b", evidence((3, 0, 1), (4, 1, 0)))
     pooled = evidence_lib.pool_evidence([one, two])["chat"]
-    assertions.assert_that(
-        pooled.target, matchers.Equals(evidence_lib.Tally(4, 1, 1))
-    )
-    assertions.assert_that(
-        pooled.others, matchers.Equals(evidence_lib.Tally(6, 1, 1))
-    )
+    assertions.assert_that(pooled.target, matchers.Equals(tally(4, 1, 1)))
+    assertions.assert_that(pooled.others, matchers.Equals(tally(6, 1, 1)))
     # The inputs are not modified.
     assertions.assert_that(
-        one.routes["chat"].target, matchers.Equals(evidence_lib.Tally(1, 1, 0))
+        one.routes["chat"].target, matchers.Equals(tally(1, 1, 0))
     )
 
 
