Test that hosts stop a slow version while the store is away

Attempts of both hosts that still run are evidence, though the store takes neither counts nor phases; the stages of a timed attempt have tests of their own.

--- a/tests/relay/peers/test_relay_peers.py
+++ b/tests/relay/peers/test_relay_peers.py
@@ -304,6 +304,36 @@
     )
 
 
+async def test_slow_version_is_stopped_while_the_store_is_away(
+    platform: relay_platform.MemoryPlatform, pair: list[Member]
+) -> None:
+    order = phases.Order("desk", "v2", 60.0, 7)
+    await platform.publish(platform.operator, "rollout/desk", order)
+    states = [each.relay.state for each in pair]
+    await until(lambda: all(each.router.rollouts.progress for each in states))
+    for topic in (platform.phases, platform.evidence, platform.status):
+        topic.is_unavailable = True
+    # Both hosts together have enough attempts, and none has ended as slow.
+    now = states[0].clock()
+    for state in states:
+        progress = state.router.rollouts.progress["desk"]
+        progress.merge_age(30.0, now)
+        for version, count in (("v1", 20), ("v2", 6)):
+            for _ in range(count):
+                attempt = progress.begin_attempt(
+                    "look", version, now - 9.0, is_stream=False
+                )
+                assert attempt is not None
+                if version == "v1":
+                    attempt.record_end(now - 8.9, is_served=True)
+    await until(
+        lambda: all(
+            each.router.rollouts.progress["desk"].is_stopped()
+            for each in states
+        )
+    )
+
+
 async def test_starting_host_reads_each_topic_once(
     platform: relay_platform.MemoryPlatform, pair: list[Member]
 ) -> None:
