--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -282,6 +282,8 @@
             "retry_budget_ratio": 0.9,
             "retry_window_s": 10,
             "session_s": 5,
+            "canary_share": 0.2,
+            "canary_tolerance": 12,
         },
         "platform": {"address": "10.200.1.7:8223"},
         "of_the_future": 1,
@@ -292,6 +294,10 @@
     assertions.assert_that(
         found.relay.metrics_listen, matchers.Equals("10.1.0.40:7340")
     )
+    assertions.assert_that(
+        (found.relay.exposure_share, found.relay.exposure_tolerance),
+        matchers.Equals((0.2, 12)),
+    )
     del fields["zone"]
     with pytest.raises(errors.ConfigurationError):
         settings.read(orjson.dumps(fields))
