Measure the share of a version from where its counts begin; spread if it fits

Cause: a trial alone does not prove each route there, though all requests until the time limit would stay within what operators allow. And that was measured too low: attempts at other versions count from a quarter of the duration on only.

Change: if all requests until the time limit fit the bound, a version spreads that is sound in total with nothing against any route.

--- a/src/hoistmoor/core/relay/versions/attempt_times.py
+++ b/src/hoistmoor/core/relay/versions/attempt_times.py
@@ -16,6 +16,11 @@
 # Events of a stream, after the first, that show its pace: enough to even out
 # pauses, and long before most streams end.
 PACE_EVENTS = 15
+# Fraction of the duration from which attempts at other versions are compared
+# with those at the target. It includes some time before sessions join a trial:
+# in a trial, each version has only a part of the load that the target gets when
+# it spreads. Before it, the load may have been another one.
+BASELINE_FROM = 0.25
 
 
 class Stage(enum.StrEnum):
--- a/src/hoistmoor/core/relay/versions/exposure.py
+++ b/src/hoistmoor/core/relay/versions/exposure.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from hoistmoor.core.relay.versions import attempt_times
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -42,11 +44,18 @@
         allowed: Attempts that the bound allows until the time limit, at the
             present rate.
         rate: Attempts per second at all versions.
+        remaining: Seconds until the time limit.
     """
 
     used: float = 0.0
     allowed: float = 0.0
     rate: float = 0.0
+    remaining: float = 0.0
+
+    @property
+    def allows_all(self) -> bool:
+        """Whether the target may get all requests until the time limit."""
+        return self.used > 0.0 and self.allows(self.remaining)
 
     def allows(self, seconds: float) -> bool:
         """Returns whether the target may get all requests for that long."""
@@ -69,7 +78,7 @@
     """
     used = sum(each.target.attempts for each in routes.values())
     others = sum(each.others.attempts for each in routes.values())
-    rate = (used + others) / max(age, 1.0)
-    remaining = max(0.0, duration - age)
-    total = used + others + rate * remaining
-    return Exposure(used, limit.share * total + limit.tolerance, rate)
+    observed = age - attempt_times.BASELINE_FROM * duration
+    rate = (used + others) / max(observed, 1.0)
+    allowed = limit.share * rate * duration + limit.tolerance
+    return Exposure(used, allowed, rate, max(0.0, duration - age))
--- a/src/hoistmoor/core/relay/versions/phases.py
+++ b/src/hoistmoor/core/relay/versions/phases.py
@@ -153,6 +153,9 @@
     if is_last_chance and verdict is verdicts.Verdict.LIKELY_BAD:
         return Phase.REVERTED
     following, begin, required = _NEXT_PHASES[phase]
+    if phase is Phase.TRIAL and exposure.allows_all:
+        # With few requests, a trial alone would prove no route in time.
+        required = verdicts.Verdict.LIKELY_SOUND
     if elapsed >= begin and verdict >= required:
         return following
     return None
--- a/src/hoistmoor/core/relay/versions/progress.py
+++ b/src/hoistmoor/core/relay/versions/progress.py
@@ -9,12 +9,6 @@
 from hoistmoor.core.relay.versions import evidence as evidence_lib
 from hoistmoor.core.relay.versions import phases
 
-# Fraction of the duration from which attempts at other versions are compared
-# with those at the target. It includes some time before sessions join a trial:
-# in a trial, each version has only a part of the load that the target gets when
-# it spreads. Before it, the load may have been another one.
-BASELINE_FROM = 0.25
-
 
 @attrs.define
 class Progress:
@@ -100,7 +94,7 @@
     ) -> attempt_times.TimedAttempt | None:
         """Returns a new attempt if its times are to be compared."""
         is_target = version == self.order.target
-        if not is_target and self.elapsed(now) < BASELINE_FROM:
+        if not is_target and self.elapsed(now) < attempt_times.BASELINE_FROM:
             return None
         return self.times.begin(
             route, now, is_target=is_target, is_stream=is_stream
