--- a/src/hoistmoor/core/relay/versions/evidence.py
+++ b/src/hoistmoor/core/relay/versions/evidence.py
@@ -45,7 +45,8 @@
             model, and requests that timed out without a response.
         failures: Responses that report a server failure.
         slow: Responses that took several times the average time, or never
-            started. Only hosts of earlier versions judge by it.
+            started. Hosts of earlier versions judge the target by it; here it
+            only tells whether the other versions are broken.
         durations: Times of all attempts, including those that still run, by
             stage. Hosts of earlier versions send none.
     """
