--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # whole and that what they import is there.
 cd "$(dirname "$0")/.." || exit 1
 python3 -m compileall -q tests/store_standin.py review/standins-2 \
-  review/4 review/5 || exit 1
+  review/4 review/5 review/6 || exit 1
 PYTHONPATH=target/deps:tests:review/standins-2 python3 -c '
 import aiohttp, attrs
 import bed, late_store_link, runner, store_standin
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -4,7 +4,9 @@
 
 Speaks what the pages say of runners. SIGTERM begins a planned shutdown: it
 reports ``draining``, serves on for ``LINGER_MS`` after the store has accepted
-that report, and exits. Events go to LOG as JSON lines with Unix time.
+that report, and exits. From SIGUSR1 to SIGUSR2 two of five requests that it
+runs fail at their end with 503, which says nothing of not having run. Events go
+to LOG as JSON lines with Unix time.
 """
 
 from __future__ import annotations
@@ -30,6 +32,8 @@
         self.log = log
         self.state = "ready"
         self.sequence = 0
+        self.is_failing = False
+        self.failing_runs = 0
 
     def write(self, event: str, **fields: Any) -> None:
         """Writes an event."""
@@ -104,10 +108,14 @@
             answer += "Hoistmoor-Not-Executed: 1\r\n"
             content = ""
         else:
-            self.write("run", id=request_id, line=first, bytes=len(body))
+            text = body[:40].decode("latin-1")
+            self.write("run", id=request_id, line=first, body=text)
             await asyncio.sleep(self.work)
             answer = "HTTP/1.1 200 OK\r\n"
             content = f"done {request_id}"
+            if self._fails():
+                answer = "HTTP/1.1 503 Service Unavailable\r\n"
+                content = f"failed {request_id}"
         answer += (
             f"Hoistmoor-Request-Id: {request_id}\r\n"
             f"Hoistmoor-Response-Signature: {self.name}.{request_id}\r\n"
@@ -116,13 +124,27 @@
         writer.write(answer.encode())
         await writer.drain()
         if content:
-            self.write("answered", id=request_id)
+            self.write("answered", id=request_id, status=int(answer[9:12]))
+
+    def _fails(self) -> bool:
+        """Returns whether the request that has just run fails."""
+        if not self.is_failing:
+            return False
+        self.failing_runs += 1
+        return self.failing_runs % 5 in (1, 3)
+
+    def set_failing(self, is_failing: bool) -> None:
+        """Begins or ends the time in which requests fail."""
+        self.is_failing = is_failing
+        self.write("grey", failing=is_failing)
 
     async def run(self) -> None:
         """Serves until it has left."""
         leaving = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.set_failing, True)
+        loop.add_signal_handler(signal.SIGUSR2, self.set_failing, False)
         ip, _, port = self.address.partition(":")
         await asyncio.start_server(self.serve, ip, int(port))
         while not await self.register():
