--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,6 @@
   review/4 review/5 review/6 || exit 1
 PYTHONPATH=target/deps:tests:review/standins-2 python3 -c '
 import aiohttp, attrs
-import bed, late_store_link, runner, store_standin
+import bed, runner, store_standin
 import hoistmoor.platform.main
 '
--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -156,12 +156,17 @@
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        process = self.spawn(
-            name,
+        relay = {**settings, "path": path}
+        self.restart_relay(relay)
+        return relay
+
+    def restart_relay(self, relay: dict[str, Any]) -> None:
+        """Starts a relay that is not running, with its settings."""
+        relay["process"] = self.spawn(
+            relay["node_name"],
             [sys.executable, "-m", "hoistmoor.platform.main"],
-            HOISTMOOR_CONFIG=str(path),
+            HOISTMOOR_CONFIG=str(relay["path"]),
         )
-        return {**settings, "process": process, "path": path}
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes a record as the operator does."""
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -1,6 +1,6 @@
 """A runner: registers itself, serves requests, and leaves when told.
 
-    python runner.py ID ADDRESS ZONE STORE LOG WORK_MS LINGER_MS
+    python runner.py ID ADDRESS ZONE STORE LOG WORK_MS LINGER_MS [VERSION]
 
 Speaks what the pages say of runners. SIGTERM begins a planned shutdown: it
 reports ``draining``, serves on for ``LINGER_MS`` after the store has accepted
@@ -29,8 +29,10 @@
     def __init__(self, arguments: list[str], log: TextIO) -> None:
         self.name, self.address, self.zone, self.store = arguments[:4]
         self.work, self.linger = (float(each) / 1000 for each in arguments[5:7])
+        self.version = arguments[7] if len(arguments) > 7 else "v1"
         self.log = log
         self.state = "ready"
+        self.born = int(time.time() * 1000)
         self.sequence = 0
         self.is_failing = False
         self.failing_runs = 0
@@ -67,10 +69,11 @@
             "service": "desk",
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 6,
             "state": state,
             "warmup_left_ms": 0,
+            "born": self.born,
             "sequence": sequence,
         }
         confirmed = await self.call_store(json.dumps(entry).encode())
