--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -105,6 +105,11 @@
     """Processes of one run."""
 
     def __init__(self, folder: pathlib.Path) -> None:
+        """Creates a run without any process.
+
+        If it is ended by SIGTERM, ``stop`` is reached as at any other exit.
+        """
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = folder
         self.store = free_address()
         self.processes: list[subprocess.Popen[bytes]] = []
