Let a line of KNOWN-RED.txt name several tests

The list holds three lines, and each of an incident's tests has to be named. A line now names several tests, separated by "; ", and is printed once.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,7 +1,8 @@
 """Decides whether a red test run is red only where KNOWN-RED.txt says so.
 
 Usage: known_red.py PYTEST_OUTPUT KNOWN_RED. Each line of the list is
-``test id | cause | issue``. Exit code 0 if no other test failed, else 1.
+``test id | cause | issue``; it may name several tests, separated by ``; ``.
+Exit code 0 if no other test failed, else 1.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 MAX_KNOWN = 3
 _FIELDS = 3
+_SEPARATOR = "; "  # Between the tests of one line.
 _SUMMARY_LINE = re.compile(r"^(?:FAILED|ERROR) (\S+::.*?)(?: - .*)?$")
 _ANY_ERROR = re.compile(r"^(?:ERROR|INTERNALERROR)\b")
 
@@ -34,7 +36,7 @@
         fields = [field.strip() for field in line.split("|")]
         if len(fields) != _FIELDS or not all(fields):
             raise KnownRedError(f"not `test id | cause | issue`: {line}")
-        known[fields[0]] = line
+        known |= dict.fromkeys(fields[0].split(_SEPARATOR), line)
     return known
 
 
@@ -67,7 +69,7 @@
     unknown = sorted(failures - set(known))
     if unknown:
         raise KnownRedError("not in the list: " + ", ".join(unknown))
-    return [known[test] for test in sorted(failures)]
+    return list(dict.fromkeys(known[test] for test in sorted(failures)))
 
 
 def main() -> int:
--- a/tests/ci/test_ci_known_red.py
+++ b/tests/ci/test_ci_known_red.py
@@ -37,6 +37,13 @@
     assertions.assert_that(lines, matchers.Equals([LISTED.strip()]))
 
 
+def test_one_line_may_list_several_tests(known_red: types.ModuleType) -> None:
+    listed = "tests/a.py::test_one[x y]; tests/b.py::test_two | a race | 7\n"
+    output = SUMMARY + "FAILED tests/b.py::test_two\n" + TOTALS
+    lines = known_red.judge(output, listed)
+    assertions.assert_that(lines, matchers.Equals([listed.strip()]))
+
+
 @pytest.mark.parametrize(
     ("output", "listed"),
     [
