Keep to a server's rest with forwarded requests, too

What servers saw: a host that forwards for hosts without links sent 8 and 26 requests to a server whose rest it knew (two and seven hosts; two allowed), and went on sending its own after a rest that it had passed on for another host.

Cause: two ways to a server. A host's own attempts are decided by what it knows of the server, and their responses teach it; those that it forwarded did neither, as the host that asks decides, which the server has told nothing.

Now the host that forwards refuses what the server has told it not to send, with the server's own words, from which the other host learns as from the server; it is served elsewhere or refused at once with the time that is left. A forwarded exchange is recorded as one of the host's own: report, health, rest. Limits and brittleness, which all hosts share, are decided by the host that asks, once it knows of them. The time left is shortened by what has passed at this host. A host of an earlier version is told `busy`, which it understands.

--- a/src/hoistmoor/core/relay/links/forwarders.py
+++ b/src/hoistmoor/core/relay/links/forwarders.py
@@ -45,6 +45,8 @@
     UNKNOWN_SERVER = "unknown_server"
     UNSUPPORTED = "unsupported"  # An older version, which forwards nothing.
     SILENT = "silent"  # It could not be connected to.
+    # The server has told it what bars the request; the answer says what.
+    BARRED = "barred"
 
 
 # Seconds before the end of its backoff at which a host that had lost its links
@@ -59,6 +61,7 @@
     ForwardResult.INTERRUPTED: 0.0,
     ForwardResult.UNREACHABLE: 0.0,
     ForwardResult.UNKNOWN_SERVER: 0.0,
+    ForwardResult.BARRED: 0.0,
     ForwardResult.BUSY: 0.25,
     ForwardResult.LINKS_LOST: 3.0,
     ForwardResult.SILENT: 2.0,
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -43,9 +43,16 @@
     from hoistmoor.core.routing import hashing
     from hoistmoor.core.routing import health as health_lib
 
-    _OutcomeHandler = Callable[
-        [requests.RelayRequest, messages.Send, float], None
-    ]
+    _OutcomeHandler = Callable[[server_lib.ServerState, float], None]
+
+
+# Outcomes of attempts that no server has received.
+_UNSENT_OUTCOMES = frozenset(
+    {
+        response_times.AttemptOutcome.UNREACHABLE,
+        response_times.AttemptOutcome.NOT_FORWARDED,
+    }
+)
 
 
 class Router:
@@ -108,9 +115,6 @@
             response_times.AttemptOutcome.FULL: self._record_full,
             response_times.AttemptOutcome.REPLACED: self._record_replaced,
             response_times.AttemptOutcome.UNREACHABLE: self._record_unreachable,
-            response_times.AttemptOutcome.NOT_FORWARDED: (
-                self._record_not_forwarded
-            ),
         }
         self.set_bounds(bounds)
 
@@ -368,9 +372,27 @@
         self.memory.remove(send.run)
         if request.prompt is not None:
             server.work -= request.work(send.model)
+        if outcome in _UNSENT_OUTCOMES and send.is_retry:
+            self._service(request.service).budget.cancel_retry(now)
+        self.record_exchange(server, outcome, now)
+
+    def record_exchange(
+        self,
+        server: server_lib.ServerState,
+        outcome: response_times.AttemptOutcome,
+        now: float,
+    ) -> None:
+        """Records what an exchange says about a server.
+
+        Args:
+            server: The server.
+            outcome: Outcome of an attempt of this host, or of one that it
+                forwarded for another host.
+            now: Monotonic time.
+        """
         handler = self._outcome_handlers.get(outcome)
         if handler is not None:
-            handler(request, send, now)
+            handler(server, now)
 
     def _record_demand(
         self, request: requests.RelayRequest, send: messages.Send, now: float
@@ -440,16 +462,16 @@
         self.memory.set_others(total.memory, now)
 
     def _record_success(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
+        self, server: server_lib.ServerState, now: float
     ) -> None:
         # A server that reports no start time may return with the same identity.
-        send.server.has_ended = False
-        self._record_health(send.server.health, now, is_success=True)
+        server.has_ended = False
+        self._record_health(server.health, now, is_success=True)
 
     def _record_failure(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
+        self, server: server_lib.ServerState, now: float
     ) -> None:
-        self._record_health(send.server.health, now, is_success=False)
+        self._record_health(server.health, now, is_success=False)
 
     def _record_health(
         self, health: health_lib.Health, now: float, *, is_success: bool
@@ -459,32 +481,25 @@
             health.eject(now)
 
     def _record_silent(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
+        self, server: server_lib.ServerState, now: float
     ) -> None:
-        health = send.server.health
+        health = server.health
         health.record(False, 1.0)
         if health.is_outlier() and not health.is_ejected:
             health.eject_silent(now)
 
-    def _record_full(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
-    ) -> None:
-        server = send.server
+    def _record_full(self, server: server_lib.ServerState, now: float) -> None:
         server.health.at_capacity_until = now + fleet_lib.FULL_REST_SECONDS
         server.brittle.rests_until = now + brittleness.TURNED_AWAY_REST
 
     def _record_replaced(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
+        self, server: server_lib.ServerState, now: float
     ) -> None:
-        send.server.presumed_ended_until = (
-            now + fleet_lib.PRESUMED_ENDED_SECONDS
-        )
+        server.presumed_ended_until = now + fleet_lib.PRESUMED_ENDED_SECONDS
 
     def _record_unreachable(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
+        self, server: server_lib.ServerState, now: float
     ) -> None:
-        self._record_not_forwarded(request, send, now)
-        server = send.server
         self.fleet.record_unreachable(server, now, self._draws.random())
         has_begun = server.health.rest_unreachable(
             now,
@@ -494,12 +509,6 @@
         if has_begun:
             server.link.rested_until = server.health.ejected_until
 
-    def _record_not_forwarded(
-        self, request: requests.RelayRequest, send: messages.Send, now: float
-    ) -> None:
-        if send.is_retry:
-            self._service(request.service).budget.cancel_retry(now)
-
     def record_server_end(
         self, server: server_lib.ServerState, now: float
     ) -> None:
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -42,8 +42,13 @@
         forwarders.ForwardResult.UNKNOWN_SERVER,
         forwarders.ForwardResult.UNSUPPORTED,
         forwarders.ForwardResult.SILENT,
+        forwarders.ForwardResult.BARRED,
     }
 )
+# Results that say nothing about other paths to the server.
+_NO_OTHER_PATH = frozenset(
+    {forwarders.ForwardResult.UNREACHABLE, forwarders.ForwardResult.BARRED}
+)
 # States in which a lost link can leave an attempt.
 _CUT_STATES = frozenset({_State.SENDING, _State.SENT, _State.ANSWERING})
 _MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
@@ -65,6 +70,35 @@
     return notices
 
 
+def exchange_outcome(
+    state: outcomes.ExchangeState,
+    status: int,
+    replaced: Container[int],
+    *,
+    requests_rest: bool,
+    has_timed_out: bool,
+) -> response_times.AttemptOutcome:
+    """Returns the outcome of an exchange as it affects a server's health.
+
+    Args:
+        state: Final state of the exchange.
+        status: Status code of the response; 0 without one.
+        replaced: Status codes that mean that another server now has the
+            address.
+        requests_rest: Whether the server requested a back-off.
+        has_timed_out: Whether the response did not start or go on in time.
+    """
+    if state is _State.DECLINED and status in replaced:
+        return response_times.AttemptOutcome.REPLACED
+    if requests_rest:
+        return response_times.AttemptOutcome.FULL
+    if state is _State.ANSWERED and status < _MIN_FAILURE_STATUS:
+        return response_times.AttemptOutcome.WELL
+    if state is _State.SENT and not has_timed_out:
+        return response_times.AttemptOutcome.FAILED
+    return _OUTCOMES.get(state, response_times.AttemptOutcome.FAILED)
+
+
 @attrs.define
 class Attempt:
     """One attempt at a backend server, and its measurements so far.
@@ -188,23 +222,26 @@
         if self.is_dropped:
             return response_times.AttemptOutcome.WELL
         if self.was_not_forwarded:
+            is_unreachable = (
+                self.forward_result is forwarders.ForwardResult.UNREACHABLE
+                and not self.is_reached_by_others
+            )
             return (
-                response_times.AttemptOutcome.NOT_FORWARDED
-                if self.may_use_server
-                else response_times.AttemptOutcome.UNREACHABLE
+                response_times.AttemptOutcome.UNREACHABLE
+                if is_unreachable
+                else response_times.AttemptOutcome.NOT_FORWARDED
             )
-        if state is _State.DECLINED and self.status in replaced:
-            return response_times.AttemptOutcome.REPLACED
-        if self.requests_rest:
-            return response_times.AttemptOutcome.FULL
-        is_complete = state is _State.ANSWERED
-        if is_complete and self.status < _MIN_FAILURE_STATUS:
-            return response_times.AttemptOutcome.WELL
-        if self.is_link_lost and state in _CUT_STATES:
+        found = exchange_outcome(
+            state,
+            self.status,
+            replaced,
+            requests_rest=self.requests_rest,
+            has_timed_out=self.has_timed_out,
+        )
+        is_cut_off = self.is_link_lost and state in _CUT_STATES
+        if is_cut_off and not self.requests_rest:
             return response_times.AttemptOutcome.LEFT
-        if state is _State.SENT and not self.has_timed_out:
-            return response_times.AttemptOutcome.FAILED
-        return _OUTCOMES.get(state, response_times.AttemptOutcome.FAILED)
+        return found
 
     def proves_unreachable(self, now: float) -> bool:
         """Returns whether an unsent attempt shows that no connection opens.
@@ -223,8 +260,11 @@
     def may_use_server(self) -> bool:
         """Whether another attempt may use the same server."""
         return self.was_not_forwarded and (
-            self.forward_result is not forwarders.ForwardResult.UNREACHABLE
-            or self.is_reached_by_others
+            self.forward_result not in _NO_OTHER_PATH
+            or (
+                self.forward_result is forwarders.ForwardResult.UNREACHABLE
+                and self.is_reached_by_others
+            )
         )
 
     def measure(
--- a/src/hoistmoor/relay/front/backend_connector.py
+++ b/src/hoistmoor/relay/front/backend_connector.py
@@ -9,6 +9,7 @@
 
 from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.clients import exchange as exchange_lib
+from hoistmoor.core.relay.links import notices
 from hoistmoor.relay import suspension
 from hoistmoor.relay.front import forwarding
 from hoistmoor.relay.front import header_names
@@ -100,7 +101,7 @@
         if send.forwarder is not None:
             address = send.forwarder.address
             dialect = self.forwarding_dialect
-            headers.update(_forwarding_headers(request, send, seconds))
+            headers.update(_forwarding_headers(request, send, seconds, now))
         return exchange_lib.Exchange(
             self.sessions.for_route(request.route),
             exchange_lib.HttpRequest(
@@ -120,7 +121,10 @@
 
 
 def _forwarding_headers(
-    request: requests.RelayRequest, send: messages.Send, seconds: float
+    request: requests.RelayRequest,
+    send: messages.Send,
+    seconds: float,
+    now: float,
 ) -> dict[str, str]:
     """Returns what the forwarding host needs to know.
 
@@ -128,10 +132,13 @@
         request: Admitted request.
         send: Decision that names the server.
         seconds: Seconds until the deadline.
+        now: Monotonic time.
     """
+    known = notices.active(send.server, now)
     return {
         forward_headers.SERVER: send.server.entry.identity,
         forward_headers.REPEATABLE: str(int(request.route.may_run_again)),
         forward_headers.SECONDS: f"{seconds:.3f}",
         forward_headers.ACCOUNT: request.account,
+        forward_headers.NOTICES: forward_headers.format_notices(known),
     }
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -378,9 +378,11 @@
             self._apply_forwarding(attempt, head)
         elif not attempt.exchange.is_reused:
             self._state.links.record_connected(attempt.send.server)
+        is_barred = attempt.forward_result is forwarders.ForwardResult.BARRED
+        if is_barred or not attempt.was_not_forwarded:
+            self._apply_report(attempt, head)
         if attempt.was_not_forwarded:
             return
-        self._apply_report(attempt, head)
         if attempt.exchange.state is _State.DECLINED:
             attempt.detail = f"declined with {head.status}"
             attempt.head = head
--- a/src/hoistmoor/relay/front/server_reports.py
+++ b/src/hoistmoor/relay/front/server_reports.py
@@ -8,11 +8,13 @@
 import re
 from typing import TYPE_CHECKING
 
+from hoistmoor.core.relay.links import notices
 from hoistmoor.core.relay.servers import reports
 
 if TYPE_CHECKING:
     from multidict import MultiMapping
 
+    from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.relay.front import header_names
 
 # Digits with an optional fraction; no sign, exponent, infinity or NaN.
@@ -64,6 +66,30 @@
     )
 
 
+def announcement_headers(
+    server: server_lib.ServerState, names: header_names.HeaderNames, now: float
+) -> dict[str, str]:
+    """Returns the headers in which a server has announced what holds now.
+
+    Args:
+        server: The server.
+        names: Header names of the platform.
+        now: Monotonic time.
+    """
+    known = notices.active(server, now)
+    values = {
+        notices.Notice.REST: (RETRY_AFTER, server.rest.remaining(now)),
+        notices.Notice.LEAVING: (names.leaving, 1),
+        notices.Notice.LIMIT: (names.limit, server.limit.rate),
+        notices.Notice.BRITTLE: (names.brittle, server.brittle.tolerance),
+    }
+    return {
+        name: format(value, "d" if isinstance(value, int) else ".6f")
+        for notice, (name, value) in values.items()
+        if notice in known and value is not None
+    }
+
+
 def _value_of(headers: MultiMapping[str], name: str) -> str | None:
     """Returns a header's value; joins repeated values that differ."""
     values = dict.fromkeys(headers.getall(name, ()))
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -2,7 +2,8 @@
 
 The other host has admitted the request and selected the server, and decides
 about retries. This one passes the request on once, over its own link only, and
-says whether it did.
+says whether it did. It keeps to what the server has announced to it, and
+records the exchange as one of its own.
 """
 
 from __future__ import annotations
@@ -17,13 +18,16 @@
 from hoistmoor.clients import exchange_errors
 from hoistmoor.core import outcomes
 from hoistmoor.core.relay.links import forwarders
+from hoistmoor.core.relay.links import notices
 from hoistmoor.core.relay.memory import budget as budget_lib
+from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import backend_connector as backend_connector_lib
 from hoistmoor.relay.front import forwarding
+from hoistmoor.relay.front import server_reports
 from hoistmoor.relay.links import forward_headers
 
 if TYPE_CHECKING:
-    from hoistmoor.core.relay.servers import server as server_lib
     from hoistmoor.relay import state as state_lib
     from hoistmoor.relay.front import held_bytes
     from hoistmoor.relay.links import link_monitor
@@ -33,10 +37,13 @@
 # Seconds after the end of a request's time at which a stalled connection to the
 # other host is closed. The exchange with the server ends by itself before.
 STALL_MARGIN = 0.5
+# Seconds that an exchange has at least; none would mean no bound.
+MIN_SECONDS = 0.001
 NOT_SENT_STATUS = 503
 INTERRUPTED_STATUS = 502
 
 _Result = forwarders.ForwardResult
+_MS = 1000.0
 
 
 @attrs.frozen
@@ -50,6 +57,17 @@
     result: forwarders.ForwardResult
 
 
+@attrs.frozen
+class _BarredError(Exception):
+    """The server has announced to this host what bars a request.
+
+    Attributes:
+        server: The server.
+    """
+
+    server: server_lib.ServerState
+
+
 class ForwardHandler:
     """Handles requests that other hosts ask this one to forward.
 
@@ -93,6 +111,7 @@
         return web.Response(headers=self._result_headers(result))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        began = self._state.clock()
         holding = budget_lib.Holding(
             request.headers.get(forward_headers.ACCOUNT, ""),
             budget_lib.Purpose.REQUEST_BODY,
@@ -102,7 +121,13 @@
             async with asyncio.timeout(seconds + STALL_MARGIN):
                 server = await self._find_server(request)
                 body = await self._read_body(request, holding)
-                return await self._forward(request, server, body)
+                self._check_notices(request, server)
+                exchange = self._open_exchange(
+                    request, server, body, self._state.clock() - began
+                )
+                return await self._forward(request, server, exchange)
+        except _BarredError as error:
+            return self._barred(request, error.server)
         except _NotSentError as error:
             return self._not_sent(request, error.result)
         except (TimeoutError, ConnectionResetError):
@@ -162,24 +187,45 @@
             parts.append(data)
         return b"".join(parts)
 
+    def _check_notices(
+        self, request: web.BaseRequest, server: server_lib.ServerState
+    ) -> None:
+        """Checks that a request is within what the server has announced.
+
+        Raises:
+            _BarredError: It is not.
+            _NotSentError: It is not, and the other host would not understand
+                why.
+        """
+        known = forward_headers.parse_notices(request.headers)
+        now = self._state.clock()
+        if not notices.prohibits_forwarding(server, known, now):
+            return
+        if forward_headers.NOTICES not in request.headers:
+            raise _NotSentError(_Result.BUSY)
+        raise _BarredError(server)
+
     async def _forward(
         self,
         request: web.BaseRequest,
         server: server_lib.ServerState,
-        body: bytes,
+        exchange: exchange_lib.Exchange,
     ) -> web.StreamResponse:
-        exchange = self._open_exchange(request, server, body)
+        record = _ExchangeRecord(self._state, self._connector, server)
         response: web.StreamResponse | None = None
         try:
             async for part in exchange:
                 if isinstance(part, exchange_lib.ResponseHead):
                     if not exchange.is_reused:
                         self._state.links.record_connected(server)
+                    record.record_head(part)
                     response = await self._begin(request, part)
                 elif isinstance(part, exchange_lib.BodyChunk):
                     assert response is not None
                     await response.write(part.data)
+            record.record_end(exchange.state)
         except exchange_errors.ExchangeError as error:
+            record.record_error(error)
             return await self._fail(request, server, response, error)
         finally:
             exchange.cancel()
@@ -193,9 +239,22 @@
         request: web.BaseRequest,
         server: server_lib.ServerState,
         body: bytes,
+        elapsed: float,
     ) -> exchange_lib.Exchange:
+        """Creates the exchange with the server without sending anything.
+
+        Args:
+            request: Request of the other host.
+            server: The server.
+            body: Body of the request.
+            elapsed: Seconds since the request arrived here, by which the time
+                left is shorter than the other host has written.
+        """
         names = self._connector.names
         headers = forwarding.without_hop(request.headers)
+        seconds = float(request.headers[forward_headers.SECONDS]) - elapsed
+        milliseconds = int(headers[names.deadline_ms]) - int(elapsed * _MS)
+        headers[names.deadline_ms] = str(max(1, milliseconds))
         is_repeatable = request.headers.get(forward_headers.REPEATABLE) == "1"
         sessions = self._connector.sessions
         return exchange_lib.Exchange(
@@ -208,7 +267,7 @@
                 body=body,
             ),
             exchange_lib.Timeouts(
-                total=float(request.headers[forward_headers.SECONDS]),
+                total=max(MIN_SECONDS, seconds),
                 connect=backend_connector_lib.CONNECT_TIMEOUT,
             ),
             self._connector.dialect,
@@ -260,6 +319,18 @@
         response.force_close()
         return response
 
+    def _barred(
+        self, request: web.BaseRequest, server: server_lib.ServerState
+    ) -> web.Response:
+        """Refuses a request with what its server has announced."""
+        response = self._not_sent(request, _Result.BARRED)
+        response.headers.update(
+            server_reports.announcement_headers(
+                server, self._connector.names, self._state.clock()
+            )
+        )
+        return response
+
     def _answer_headers(
         self, request: web.BaseRequest, result: forwarders.ForwardResult
     ) -> dict[str, str]:
@@ -277,3 +348,58 @@
 
     def _count(self, result: forwarders.ForwardResult) -> None:
         self._state.counters.forwarded.labels("done", result.value).inc()
+
+
+class _ExchangeRecord:
+    """Records a forwarded exchange as one of this host's own."""
+
+    def __init__(
+        self,
+        state: state_lib.RelayState,
+        connector: backend_connector_lib.BackendConnector,
+        server: server_lib.ServerState,
+    ) -> None:
+        self._state = state
+        self._connector = connector
+        self._server = server
+        self._sent_at = state.clock()
+        self._status = 0
+        self._requests_rest = False
+        state.report_tracker.record_send(server)
+
+    def record_head(self, head: exchange_lib.ResponseHead) -> None:
+        """Applies what the server reports about itself."""
+        self._status = head.status
+        if head.status in self._connector.dialect.not_run_statuses:
+            return
+        names = self._connector.names
+        report = server_reports.parse_report(head.status, head.headers, names)
+        self._requests_rest = report.rest is not None
+        self._state.report_tracker.apply_report(
+            self._server,
+            report,
+            self._sent_at,
+            is_success=head.status < 300 and names.signature in head.headers,
+        )
+
+    def record_error(self, error: exchange_errors.ExchangeError) -> None:
+        """Records an exchange without a complete response."""
+        if error.state is outcomes.ExchangeState.UNSENT:
+            return  # The link is diagnosed.
+        has_timed_out = isinstance(error, exchange_errors.BackendTimeoutError)
+        self.record_end(error.state, has_timed_out=has_timed_out)
+
+    def record_end(
+        self, state: outcomes.ExchangeState, *, has_timed_out: bool = False
+    ) -> None:
+        """Records the end of the exchange."""
+        outcome = attempt_lib.exchange_outcome(
+            state,
+            self._status,
+            self._connector.dialect.not_run_statuses,
+            requests_rest=self._requests_rest,
+            has_timed_out=has_timed_out,
+        )
+        self._state.router.record_exchange(
+            self._server, outcome, self._state.clock()
+        )
--- a/src/hoistmoor/relay/links/forward_headers.py
+++ b/src/hoistmoor/relay/links/forward_headers.py
@@ -11,6 +11,7 @@
 
 from hoistmoor.clients import dialect as dialect_lib
 from hoistmoor.core.relay.links import forwarders
+from hoistmoor.core.relay.links import notices
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -22,12 +23,24 @@
 REPEATABLE = "X-Relay-Repeatable"
 SECONDS = "X-Relay-Seconds"  # Time until the forwarding host gives up.
 ACCOUNT = "X-Relay-Account"  # Client account whose memory share is used.
+# Notices of the server that the asking host knows of, separated by commas.
+# Earlier versions neither send the header nor understand ``BARRED``.
+NOTICES = "X-Relay-Notices"
 RESULT = "X-Relay-Result"  # One of ``ForwardResult``.
 LOAD = "X-Relay-Load"  # Requests that the forwarding host forwards.
 
 ALL = frozenset(
     name.lower()
-    for name in (SERVER, QUESTION, REPEATABLE, SECONDS, ACCOUNT, RESULT, LOAD)
+    for name in (
+        SERVER,
+        QUESTION,
+        REPEATABLE,
+        SECONDS,
+        ACCOUNT,
+        NOTICES,
+        RESULT,
+        LOAD,
+    )
 )
 
 
@@ -39,6 +52,17 @@
         return forwarders.ForwardResult.UNSUPPORTED
 
 
+def format_notices(known: frozenset[notices.Notice]) -> str:
+    """Returns the header value for the notices that a host knows of."""
+    return ",".join(sorted(known))
+
+
+def parse_notices(headers: Mapping[str, str]) -> frozenset[notices.Notice]:
+    """Returns the notices that the asking host knows of."""
+    words = frozenset(headers.get(NOTICES, "").split(","))
+    return frozenset(each for each in notices.Notice if each in words)
+
+
 def parse_load(headers: Mapping[str, str]) -> int:
     """Returns how many requests the other host forwards; 0 if not said."""
     text = headers.get(LOAD, "")
--- a/tests/relay/test_relay_forwarded_rests.py
+++ b/tests/relay/test_relay_forwarded_rests.py
@@ -9,12 +9,15 @@
 
 from typing import TYPE_CHECKING
 
+import aiohttp
 import partitioned_cluster
 import pytest
 import relay_cluster
 from testtools import assertions
 from testtools import matchers
 
+from hoistmoor.relay.links import forward_headers
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -122,3 +125,30 @@
             matchers.Is(True),
         )
         assertions.assert_that(cluster.runs(), matchers.Equals({}))
+
+
+async def test_a_host_of_an_earlier_version_is_told_that_the_helper_is_busy(
+    monkeypatch: pytest_lib.MonkeyPatch,
+) -> None:
+    # It would take any other new result for that of a host that cannot forward.
+    async with partitioned_cluster.open_cluster(monkeypatch, 2) as cluster:
+        resting = cluster.servers[1]
+        resting.rest = REST
+        await _call_until_known(cluster, HELPER, [resting.name])
+        cluster.forget_runs()
+        fleet = cluster.relays[HELPER].state.router.fleet
+        sent = {
+            forward_headers.SERVER: fleet.servers[resting.name].entry.identity,
+            forward_headers.SECONDS: "4.0",
+            forward_headers.REPEATABLE: "1",
+            "X-Deadline-Ms": "4000",
+            "X-Request-Id": "old",
+        }
+        address = cluster.relays[HELPER].settings.peer_listen
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{address}/look/a", headers=sent) as reply,
+        ):
+            result = forward_headers.parse_result(reply.headers)
+        assertions.assert_that(result.value, matchers.Equals("busy"))
+        assertions.assert_that(resting.arrived, matchers.Equals([]))
