Bound what a server may send besides the body of a response

What callers saw: one server that sends bytes without an end (interim heads, empty lines, a chunk's size line or extension, a body) takes a host to gigabytes and its loop from all others, so that callers of sound servers get no answer.

Cause: the HTTP library bounds single lines, not how many interim heads, empty lines or bytes of framing there are, and the relay held each body of a plain route whole, whatever its size.

Now every HTTP client counts the bytes that are not the body, as they arrive and before the next slice is parsed; over the bound the attempt ends, the connection is closed, and the request goes on as before. A body is held up to 1 MB, so that another server's answer can replace it, and then passed on at its caller's pace, with the server's length; it is final then. A failure that large ends its attempt. A second answer closes its connection at once: the test of the next line of defence takes that away, too, to show it. Lines and a counter name the server, the part and the bytes.

A header line, a status line and trailers without an end were bounded before.

--- a/src/hoistmoor/clients/exchange_errors.py
+++ b/src/hoistmoor/clients/exchange_errors.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from hoistmoor.clients import response_handler
 from hoistmoor.core import errors
+from hoistmoor.core import framing
 from hoistmoor.core import outcomes
 
 if TYPE_CHECKING:
@@ -58,10 +60,32 @@
     """The received data cannot be a response to this attempt."""
 
 
+class BackendOversizeError(BackendProtocolError):
+    """The server sent more than a response may have.
+
+    Attributes:
+        place: Part of the response that is too large.
+        size: Bytes received.
+    """
+
+    def __init__(
+        self, state: outcomes.ExchangeState, place: framing.Place, size: int
+    ) -> None:
+        super().__init__(
+            state,
+            f"{place} of the answer too large after {size} bytes",
+            "Check what the backend server sends.",
+        )
+        self.place = place
+        self.size = size
+
+
 def from_transport_error(
     state: outcomes.ExchangeState, url: str, error: Exception
 ) -> ExchangeError:
     """Converts an error of the HTTP library."""
+    if isinstance(error, response_handler.FramingLimitError):
+        return BackendOversizeError(state, error.place, error.size)
     if state is outcomes.ExchangeState.UNSENT:
         return BackendUnreachableError(
             state,
--- a/src/hoistmoor/clients/sessions.py
+++ b/src/hoistmoor/clients/sessions.py
@@ -14,8 +14,8 @@
 from typing import Any, Protocol, TYPE_CHECKING
 
 import aiohttp
-from aiohttp import client_proto
 
+from hoistmoor.clients import response_handler
 from hoistmoor.utils import http_limits
 
 if TYPE_CHECKING:
@@ -52,7 +52,9 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        make_handler = functools.partial(ResetAwareHandler, loop=self._loop)
+        make_handler = functools.partial(
+            response_handler.ResponseHandler, loop=self._loop
+        )
         self._factory = make_handler  # type: ignore[assignment]
 
     async def _get(self, key: Any, traces: Any) -> Any:
@@ -64,23 +66,6 @@
         return await super()._get(key, traces)
 
 
-class ResetAwareHandler(client_proto.ResponseHandler):
-    """Distinguishes a reset connection from the regular end of a response.
-
-    aiohttp treats the end of a connection as the end of a response without a
-    length, even if the connection was reset.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fails the current response if the connection ended with an error."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientConnectionError(f"connection lost: {exc!r}")
-            )
-        super().connection_lost(exc)
-
-
 class AttemptResponse(aiohttp.ClientResponse):
     """Allows its connection to be reused only if it echoes the attempt id.
 
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -95,6 +95,7 @@
         self._needs_room = needs_room
         self._counts = attempt_counts.AttemptCounts()
         self._has_begun = False  # Whether the caller has part of a response.
+        self._is_final = False  # Whether that response cannot be replaced.
         self._escalating = False
         self._keeps_model = False  # Whether escalation is ruled out.
         self._excluded: frozenset[str] = frozenset()
@@ -172,6 +173,8 @@
     def _(self, event: messages.AttemptEnded, now: float) -> messages.Effect:
         assert self.server is not None
         self._record_end(event)
+        if self._is_final:
+            return self._end_passed_on(event.state)
         if self._escalating:
             self._escalating = False
             return self._send(now, refusals.Reason.BACKEND_CUT)
@@ -180,9 +183,7 @@
         if event.state is _State.ANSWERED and not event.asks_rest:
             self._failed_versions |= {self.server.entry.version}
         can_deliver = event.state is _State.ANSWERED and not self._has_begun
-        if not event.may_use_server:
-            self._excluded |= {self.server.entry.identity}
-        self._detail = event.detail or f"status {event.status}"
+        self._exclude_server(event)
         self._fall_back_to_small(event.state)
         if self._may_retry(event.state, now):
             effect = self._send(now, _REASON_BY_STATE[event.state])
@@ -194,6 +195,18 @@
             return messages.Deliver()
         return self._fail(_REASON_BY_STATE[event.state])
 
+    def _exclude_server(self, event: messages.AttemptEnded) -> None:
+        assert self.server is not None
+        if not event.may_use_server:
+            self._excluded |= {self.server.entry.identity}
+        self._detail = event.detail or f"status {event.status}"
+
+    def _end_passed_on(self, state: outcomes.ExchangeState) -> messages.Effect:
+        """Ends a response that the caller has got as it came."""
+        if state is _State.ANSWERED:
+            return messages.Deliver()
+        return self._fail(_REASON_BY_STATE[state])
+
     def _fall_back_to_small(self, state: outcomes.ExchangeState) -> None:
         """Falls back to the smallest model if the largest does not respond.
 
@@ -279,6 +292,13 @@
         """Records that the caller received part of the response."""
         self._has_begun = True
 
+    def record_passed_on(self) -> None:
+        """Records that the caller gets a response as it comes.
+
+        It cannot be resumed, and no other one may follow.
+        """
+        self._has_begun = self._is_final = True
+
     def _send(self, now: float, reason: refusals.Reason) -> messages.Effect:
         refusal = self._check_quarantine(now)
         if refusal is not None:
--- a/src/hoistmoor/core/relay/memory/budget.py
+++ b/src/hoistmoor/core/relay/memory/budget.py
@@ -33,6 +33,9 @@
 MAX_STREAM_BYTES = 524_288
 # Bytes up to which a body is refused only if the whole budget is used.
 SMALL_BODY_BYTES = 65_536
+# Bytes of a response body that are held so that another server's response can
+# replace it if it ends early.
+MAX_HELD_RESPONSE = 1_048_576
 # Seconds over which the rate of released bytes is averaged.
 RELEASE_WINDOW = 2.0
 
@@ -118,6 +121,21 @@
         others = self._by_account.get(holding.account, 0) - holding.held
         return others + size <= ACCOUNT_FRACTION * (free - size)
 
+    def allows_response(self, holding: Holding, size: int) -> bool:
+        """Returns whether a response body may be held as a whole.
+
+        A larger one is passed on as it comes, at the pace of its caller.
+
+        Args:
+            holding: What is held of it already.
+            size: Its bytes in total, as far as received.
+        """
+        if size > MAX_HELD_RESPONSE:
+            return False
+        if self.limit is None:
+            return True
+        return self.total + size - holding.held <= self.limit
+
     def stream_allowance(self) -> int:
         """Returns the bytes that one stream may hold unsent."""
         if self.limit is None:
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -113,6 +113,8 @@
         longest_pause: Longest time in seconds between two arrivals of events.
         events_before: Events of the stream that earlier attempts delivered.
         body: Parts of a response that is not streamed.
+        is_passed_on: Whether the caller gets the body as it comes, although it
+            is not a stream.
         is_dropped: Whether it was abandoned in favor of a larger model.
         is_cut: Whether the connection closed before the response was complete.
         has_timed_out: Whether the response did not start or go on in time.
@@ -141,6 +143,7 @@
     longest_pause: float = 0.0
     events_before: int = 0
     body: list[bytes] = attrs.field(factory=list)
+    is_passed_on: bool = False
     is_dropped: bool = False
     is_cut: bool = False
     has_timed_out: bool = False
--- a/src/hoistmoor/relay/front/caller_response.py
+++ b/src/hoistmoor/relay/front/caller_response.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import HttpVersion11
 from aiohttp import web
 
 from hoistmoor.core import outcomes
@@ -50,7 +51,7 @@
         head: exchange_lib.ResponseHead,
         open_buffer: Callable[[WriteTransport], held_bytes.StreamBuffer],
     ) -> None:
-        """Sends a server's response head; the body follows in chunks.
+        """Sends a server's response head; the body follows as it comes.
 
         Args:
             head: Head of the response.
@@ -59,7 +60,11 @@
         response = web.StreamResponse(
             status=head.status, headers=forwarding.without_hop(head.headers)
         )
-        response.enable_chunked_encoding()
+        length = head.headers.get("Content-Length", "")
+        if length.isascii() and length.isdigit():
+            response.content_length = int(length)
+        elif self._request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
         await self._prepare(response)
         if self._request.transport is not None:
             self._buffer = open_buffer(self._request.transport)
--- a/src/hoistmoor/relay/front/held_bytes.py
+++ b/src/hoistmoor/relay/front/held_bytes.py
@@ -55,6 +55,15 @@
             holding, self._state.clock(), is_lagging=is_lagging
         )
 
+    def may_hold(self, holding: budget_lib.Holding, size: int) -> bool:
+        """Returns whether more of a response body may be held.
+
+        Args:
+            holding: What is held of it already.
+            size: Its bytes in total, as far as received.
+        """
+        return self.budget.allows_response(holding, size)
+
     def refuse_body(
         self, holding: budget_lib.Holding, size: int
     ) -> refusals.Refusal | None:
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -7,6 +7,7 @@
 
 from hoistmoor.clients import exchange as exchange_lib
 from hoistmoor.clients import exchange_errors
+from hoistmoor.core import framing
 from hoistmoor.core import outcomes
 from hoistmoor.core.relay.answers import response_times
 from hoistmoor.core.relay.answers import streams
@@ -36,6 +37,8 @@
 
 _State = outcomes.ExchangeState
 
+_MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
+
 # Final states in which the server no longer works on the request.
 _FINISHED = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
 
@@ -353,6 +356,8 @@
             attempt.is_cut = isinstance(
                 error, exchange_errors.BackendDisconnectedError
             )
+            if isinstance(error, exchange_errors.BackendOversizeError):
+                self._state.record_oversize(attempt.send.server, error)
             state = attempt.exchange.state
             return _State.ANSWERING if state is _State.ANSWERED else state
         return attempt.exchange.state
@@ -470,8 +475,7 @@
     ) -> None:
         if not self._is_passed_through(attempt):
             attempt.send.run.record_part()
-            attempt.body.append(data)
-            self._held.resize(self._held_body, self._held_body.held + len(data))
+            await self._handle_plain_data(attempt, data)
             return
         events = self._sequence.feed(data)
         if not events:
@@ -488,6 +492,40 @@
             self._machine.record_response_started()
         await self._answer.write(events)
 
+    async def _handle_plain_data(
+        self, attempt: attempt_lib.Attempt, data: bytes
+    ) -> None:
+        """Holds a part of a body, or passes it on once too much is held.
+
+        Raises:
+            BackendOversizeError: A failure, which another server's response
+                may replace, is too large to hold.
+        """
+        if attempt.is_passed_on:
+            await self._answer.write(data)
+            return
+        size = self._held_body.held + len(data)
+        attempt.body.append(data)
+        if self._held.may_hold(self._held_body, size):
+            self._held.resize(self._held_body, size)
+            return
+        if attempt.status >= _MIN_FAILURE_STATUS:
+            raise exchange_errors.BackendOversizeError(
+                attempt.exchange.state, framing.Place.FAILURE_BODY, size
+            )
+        await self._begin_passing_on(attempt)
+
+    async def _begin_passing_on(self, attempt: attempt_lib.Attempt) -> None:
+        """Sends what is held; the rest follows as the caller reads."""
+        assert attempt.head is not None
+        attempt.is_passed_on = True
+        self._machine.record_passed_on()
+        await self._answer.start(attempt.head, self._open_buffer)
+        held, attempt.body = attempt.body, []
+        self._held.resize(self._held_body, 0)
+        for data in held:
+            await self._answer.write(data)
+
     def _open_buffer(
         self, transport: asyncio.WriteTransport
     ) -> held_bytes.StreamBuffer:
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -384,6 +384,8 @@
 
     def record_error(self, error: exchange_errors.ExchangeError) -> None:
         """Records an exchange without a complete response."""
+        if isinstance(error, exchange_errors.BackendOversizeError):
+            self._state.record_oversize(self._server, error)
         if error.state is outcomes.ExchangeState.UNSENT:
             return  # The link is diagnosed.
         has_timed_out = isinstance(error, exchange_errors.BackendTimeoutError)
--- a/src/hoistmoor/relay/metrics.py
+++ b/src/hoistmoor/relay/metrics.py
@@ -16,6 +16,7 @@
         attempts: Attempts by the final state of their exchange.
         sends_despite_notice: Attempts sent to servers that had announced a rate
             limit, their departure or a back-off, by kind of notice.
+        oversize_responses: Responses of which a part was too large, by part.
         state_changes: State changes on this host, by kind.
         task_failures: Unexpected errors of background tasks, by task.
         room_waits: Seconds for which requests waited for room, by service and
@@ -62,6 +63,12 @@
             ["word"],
             registry=self.registry,
         )
+        self.oversize_responses = prometheus_client.Counter(
+            "hoistmoor_relay_oversize_responses",
+            "Responses that ended because a part of them was too large.",
+            ["place"],
+            registry=self.registry,
+        )
         self.state_changes = prometheus_client.Counter(
             "hoistmoor_relay_belief_changes",
             "Changes of what this host believes.",
--- a/tests/clients/test_clients_sessions.py
+++ b/tests/clients/test_clients_sessions.py
@@ -13,6 +13,7 @@
 from testtools import matchers
 
 from hoistmoor.clients import exchange
+from hoistmoor.clients import response_handler
 from hoistmoor.clients import sessions
 from hoistmoor.core import outcomes
 
@@ -135,6 +136,10 @@
     monkeypatch.setattr(
         sessions.IdleCheckConnector, "_get", aiohttp.TCPConnector._get
     )
+    # A connection with such a response is closed at once, too.
+    monkeypatch.setattr(
+        response_handler.ResponseHandler, "_close", lambda _: None
+    )
     late = LateBackend()
     backend = await make_backend(late.respond)
     await send_get(session, backend.address, "1")
