Stop sending to servers that have fallen silent

Cause: a server counts as unusable to a host after three attempts in a row that have timed out, and a repeat may go to another one that stands still, too. Each host learns it for itself, as the kernel of a stopped server takes everything.

Now a host that is owed responses and hears nothing for longer than usual (as a retransmission timeout) requests the server's health path, once. While that is not answered, others are preferred; after half a second the server gets nothing, and requests are refused at once, as not run, where that holds for all. A repeat prefers a server that has just responded.

The soak stops servers, lets them send bytes without an end, and checks the sizes of relays.

--- a/src/hoistmoor/core/relay/beliefs/configuration.py
+++ b/src/hoistmoor/core/relay/beliefs/configuration.py
@@ -91,6 +91,8 @@
             warm-up.
         memory_tokens: Tokens that the memory of one engine holds, for running
             requests and cached parts together; 0 if not known.
+        health_path: Path at which a server that works responds at once; empty
+            if there is none.
     """
 
     name: str
@@ -100,6 +102,7 @@
     warmup_duration: float = 0.0
     warmup_rate: float = 0.0
     memory_tokens: int = 0
+    health_path: str = ""
 
 
 @attrs.frozen
--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -58,6 +58,7 @@
     eligibility.IneligibilityReason.UNREACHABLE: (
         refusals.Reason.BACKEND_UNREACHABLE
     ),
+    eligibility.IneligibilityReason.SILENT: refusals.Reason.NO_CAPACITY,
 }
 
 
--- a/src/hoistmoor/core/relay/placement/router.py
+++ b/src/hoistmoor/core/relay/placement/router.py
@@ -28,6 +28,7 @@
 from hoistmoor.core.relay.servers import part_states
 from hoistmoor.core.relay.servers import serials as serials_lib
 from hoistmoor.core.relay.servers import server as server_lib
+from hoistmoor.core.relay.servers import silence
 from hoistmoor.core.relay.servers import speed as speed_lib
 from hoistmoor.core.relay.servers import suspect_state
 from hoistmoor.core.relay.servers import suspects as suspects_lib
@@ -70,6 +71,7 @@
         zone: Failure domain of this host.
         reading: Prompts that engines have still to read.
         memory: Tokens of memory needed at engines, by all hosts.
+        silences: Servers that owe responses to this host.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.zone = zone
         self.reading = interference.Reading()
         self.memory = engine_memory.EngineAmounts()
+        self.silences = silence.SilenceTable()
         self._bounds = bounds
         self._draws = draws
         self._services: dict[str, service_state.ServiceState] = {}
@@ -302,6 +305,8 @@
         )
         service = self.service_reading(request.service)
         self.reading.record_read(send.run, service, now)
+        if send.forwarder is None:
+            self.silences.record_heard(send.server, now)
 
     def begin_attempt(
         self,
@@ -322,6 +327,8 @@
         server = send.server
         server.in_flight += 1
         server.sends.record(now)
+        if send.forwarder is None:
+            self.silences.record_sent(server, request.route.target, now)
         server.runs.add(send.run)
         self.accounts.record(
             request.account,
@@ -372,6 +379,8 @@
         self.memory.remove(send.run)
         if request.prompt is not None:
             server.work -= request.work(send.model)
+        if send.forwarder is None:
+            self.silences.record_end(server, outcome, now)
         if outcome in _UNSENT_OUTCOMES and send.is_retry:
             self._service(request.service).budget.cancel_retry(now)
         self.record_exchange(server, outcome, now)
--- a/src/hoistmoor/core/relay/servers/fleet.py
+++ b/src/hoistmoor/core/relay/servers/fleet.py
@@ -430,13 +430,14 @@
         self,
         eligible: Iterable[server_lib.ServerState],
         versions: Container[str],
-        excluded: Container[str],
+        excluded: frozenset[str],
         now: float,
         draw: float,
     ) -> list[server_lib.ServerState]:
         """Returns the candidates for new work among the eligible servers.
 
-        Outliers and full servers are left out while enough others remain.
+        Outliers and full servers are left out while enough others remain, and
+        those that do not respond while any other remains.
 
         Args:
             eligible: Eligible servers.
@@ -466,6 +467,14 @@
         ]
         pool = preferred or pool
         pool = self.reachability.preferred(pool, now) or pool
+        pool = [
+            each for each in pool if not each.silence.is_suspected(now)
+        ] or pool
+        if excluded:
+            # One attempt has failed already; another such server costs more.
+            pool = [
+                each for each in pool if each.silence.is_responding(now)
+            ] or pool
         for server in pool:
             server.health.end_rests(now)
         healthy = [server for server in pool if not server.health.is_resting]
--- a/src/hoistmoor/core/relay/servers/server.py
+++ b/src/hoistmoor/core/relay/servers/server.py
@@ -17,6 +17,7 @@
 from hoistmoor.core.relay.servers import rests
 from hoistmoor.core.relay.servers import runs as runs_lib
 from hoistmoor.core.relay.servers import shares as shares_lib
+from hoistmoor.core.relay.servers import silence as silence_lib
 from hoistmoor.core.relay.servers import speed as speed_lib
 from hoistmoor.core.routing import health as health_lib
 
@@ -124,6 +125,7 @@
         link: Link from this host to it.
         brittle: Whether it falls over when it turns requests away.
         unreadable: Malformed values in its latest reports, by field.
+        silence: What it owes to this host, and since when it has been quiet.
     """
 
     entry: ServerEntry
@@ -153,6 +155,9 @@
         factory=brittleness.BrittleState
     )
     unreadable: dict[str, str] = attrs.field(factory=dict)
+    silence: silence_lib.SilenceState = attrs.field(
+        factory=silence_lib.SilenceState
+    )
 
     def relisted(self, entry: ServerEntry) -> ServerState:
         """Returns the state after a removed entry has been listed again.
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -179,6 +179,7 @@
         warmup_duration=float(fields.get("warmup_s") or 0.0),
         warmup_rate=float(fields.get("warmup_per_s") or 0.0),
         memory_tokens=int((engine or {}).get("kv_capacity_tokens") or 0),
+        health_path=fields.get("health_path") or "",
     )
 
 
--- a/src/hoistmoor/relay/application.py
+++ b/src/hoistmoor/relay/application.py
@@ -30,6 +30,7 @@
 from hoistmoor.relay.front import server_end_detector
 from hoistmoor.relay.links import forward_handler
 from hoistmoor.relay.links import link_monitor
+from hoistmoor.relay.links import silence_monitor
 from hoistmoor.relay.peers import listing as listing_lib
 from hoistmoor.relay.peers import peer_client
 from hoistmoor.relay.peers import reader as reader_lib
@@ -156,7 +157,7 @@
             may_use_peers=bool(settings.peer_listen),
         )
         era_monitor.EraMonitor(self.state, self.followers).attach()
-        self._make_tasks(platform)
+        self._make_tasks(platform, connector)
         self._serving = relay_server.RelayServer(
             self.state,
             self.front,
@@ -188,6 +189,7 @@
     def _make_tasks(
         self,
         platform: ports.Platform,
+        connector: backend_connector_lib.BackendConnector,
     ) -> None:
         settings = self.settings
         self.background_tasks = {
@@ -196,6 +198,9 @@
         self.background_tasks["settings"] = self.settings_task.run
         self.background_tasks["suspension"] = self.suspension.run
         self.background_tasks["links"] = self.link_monitor.run
+        self.background_tasks["silences"] = silence_monitor.SilenceMonitor(
+            self.state, connector
+        ).run
         self.background_tasks["lease"] = lease_monitor.LeaseMonitor(
             self.state
         ).run
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -365,6 +365,8 @@
     async def _handle_part(
         self, attempt: attempt_lib.Attempt, part: exchange_lib.ResponsePart
     ) -> None:
+        if attempt.send.forwarder is None:
+            self._state.record_heard(attempt.send.server)
         if isinstance(part, exchange_lib.ResponseHead):
             await self._handle_head(attempt, part)
         elif isinstance(part, exchange_lib.BodyChunk):
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -17,6 +17,7 @@
 from hoistmoor.clients import exchange as exchange_lib
 from hoistmoor.clients import exchange_errors
 from hoistmoor.core import outcomes
+from hoistmoor.core.relay.answers import response_times
 from hoistmoor.core.relay.links import forwarders
 from hoistmoor.core.relay.links import notices
 from hoistmoor.core.relay.memory import budget as budget_lib
@@ -42,6 +43,7 @@
 NOT_SENT_STATUS = 503
 INTERRUPTED_STATUS = 502
 
+_Outcome = response_times.AttemptOutcome
 _Result = forwarders.ForwardResult
 _MS = 1000.0
 
@@ -199,6 +201,8 @@
         """
         known = forward_headers.parse_notices(request.headers)
         now = self._state.clock()
+        if server.silence.is_silent(now):
+            raise _NotSentError(_Result.UNREACHABLE)
         if not notices.prohibits_forwarding(server, known, now):
             return
         if forward_headers.NOTICES not in request.headers:
@@ -215,6 +219,7 @@
         response: web.StreamResponse | None = None
         try:
             async for part in exchange:
+                self._state.record_heard(server)
                 if isinstance(part, exchange_lib.ResponseHead):
                     if not exchange.is_reused:
                         self._state.links.record_connected(server)
@@ -229,6 +234,7 @@
             return await self._fail(request, server, response, error)
         finally:
             exchange.cancel()
+            record.close()
         assert response is not None
         await response.write_eof()
         self._count(_Result.SENT)
@@ -365,7 +371,10 @@
         self._sent_at = state.clock()
         self._status = 0
         self._requests_rest = False
+        self._outcome = _Outcome.LEFT
         state.report_tracker.record_send(server)
+        # The route, and so its target latency, is known to the other host.
+        state.router.silences.record_sent(server, 0.0, self._sent_at)
 
     def record_head(self, head: exchange_lib.ResponseHead) -> None:
         """Applies what the server reports about itself."""
@@ -386,8 +395,6 @@
         """Records an exchange without a complete response."""
         if isinstance(error, exchange_errors.BackendOversizeError):
             self._state.record_oversize(self._server, error)
-        if error.state is outcomes.ExchangeState.UNSENT:
-            return  # The link is diagnosed.
         has_timed_out = isinstance(error, exchange_errors.BackendTimeoutError)
         self.record_end(error.state, has_timed_out=has_timed_out)
 
@@ -395,13 +402,18 @@
         self, state: outcomes.ExchangeState, *, has_timed_out: bool = False
     ) -> None:
         """Records the end of the exchange."""
-        outcome = attempt_lib.exchange_outcome(
+        self._outcome = attempt_lib.exchange_outcome(
             state,
             self._status,
             self._connector.dialect.not_run_statuses,
             requests_rest=self._requests_rest,
             has_timed_out=has_timed_out,
         )
-        self._state.router.record_exchange(
-            self._server, outcome, self._state.clock()
-        )
+
+    def close(self) -> None:
+        """Applies the outcome; an abandoned exchange says nothing."""
+        now = self._state.clock()
+        router = self._state.router
+        router.silences.record_end(self._server, self._outcome, now)
+        if self._outcome is not _Outcome.UNREACHABLE:  # The link is diagnosed.
+            router.record_exchange(self._server, self._outcome, now)
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -194,6 +194,18 @@
             size=error.size,
         )
 
+    def record_heard(self, server: server_lib.ServerState) -> None:
+        """Records that bytes have arrived from a server."""
+        now = self.clock()
+        since = server.silence.quiet_since
+        if self.router.silences.record_heard(server, now) and since is not None:
+            self.log_change(
+                "server_responds",
+                server=server.entry.server_id,
+                service=server.entry.service,
+                quiet=round(now - since, 3),
+            )
+
     def record_server_end(self, server: server_lib.ServerState) -> None:
         """Records that this host found a server incarnation terminated."""
         if server.has_ended:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 import aiohttp
 import attrs
 import link_proxy
+import orjson
 import soak_backend
 import soak_budget
 import soak_cuts
@@ -60,6 +61,7 @@
 RESTART_DELAY = 0.5  # Seconds until an ended backend server is restarted.
 # Requests of each kind that crash servers which may reach any after recovery.
 MAX_QUIET_CRASHES = 3
+MAX_RELAY_BYTES = 300_000_000  # Memory of a machine of the users.
 # Prefixes of the ids of requests that crash servers.
 CRASHING = ("crash.", "part.")
 CONFIGURATION_REFUSALS = frozenset({401, 403, 404})
@@ -140,6 +142,7 @@
         """
         self.world = world
         self.figures = ""
+        self.largest = (0, "")  # Resident bytes and name of the largest relay.
         self._kinds = kinds
         self.calls: list[RequestRecord] = []
         self.spans: list[FaultPeriod] = []
@@ -185,6 +188,8 @@
             for relay in self.world.relays:
                 status = await self.world.get_status(f"http://{relay.ready}/")
                 relay.in_rotation = status == 200
+            for name, size in self.world.relay_sizes():
+                self.largest = max(self.largest, (size, name))
             await asyncio.sleep(1.0)
 
     async def _revoke_key(self) -> None:
@@ -398,7 +403,8 @@
             for each in self._random.sample(self.world.backends, count)
             if self._reserve(each.name)
         ]
-        span = self._open_span("all", "server stop")
+        names = " ".join(each.name for each in servers)
+        span = self._open_span("all", f"server stop {names}")
         for server in servers:
             server.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
@@ -513,6 +519,10 @@
         )
         self.figures = budget.figures()
         violations += budget.find_violations()
+        size, name = self.largest
+        self.figures += f", {size // 1_000_000} MB"
+        if size > MAX_RELAY_BYTES:
+            violations.append(f"{name} used {size} bytes of memory")
         violations += self.world.failed_tasks()
         crashed = {name for name in runs if name.startswith(CRASHING)}
         for kind in CRASHING:
@@ -544,6 +554,12 @@
             )
         return violations
 
+    def write_records(self, folder: pathlib.Path) -> None:
+        """Writes the calls and the periods of faults, to trace a violation."""
+        rows = [*self.calls, *self.spans, *self.stops]
+        lines = [orjson.dumps(attrs.asdict(each), default=str) for each in rows]
+        (folder / "calls.jsonl").write_bytes(b"\n".join(lines))
+
     def _may_lack_servers(self, call: RequestRecord) -> bool:
         """Returns whether a crash may have left a request without servers.
 
@@ -635,6 +651,7 @@
             await world.start(relays)
             soak = Soak(world, seed, seconds, kinds)
             violations = await soak.run()
+            soak.write_records(folder)
         finally:
             await world.stop()
     served = sum(call.status == 200 for call in soak.calls)
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import os
+import random
 import sys
 import time
 
@@ -21,6 +22,7 @@
 HEARTBEAT_INTERVAL = 1.0  # Seconds between two registrations.
 EVENTS = 5  # Events of each stream.
 EVENT_INTERVAL = 0.04  # Seconds between two events of a stream.
+HEALTH_PATH = "/health"
 CRASH_PATH = "/stream/crash"  # Crashes the server that executes it.
 # Prompt part that crashes a server as it begins to respond.
 CRASHING_PART = "bad"
@@ -39,6 +41,18 @@
 INVALID_LIMIT_PHASE = (3.0, 4.0)
 REST_PHASES = ((4.5, 6.5), (11.2, 13.8))
 LEAVING_PHASE = (7.0, 11.0)
+# Sends bytes without an end in place of a response.
+ENDLESS = "i-desk-1"
+ENDLESS_PHASE = (8.5, 10.5)
+ENDLESS_BLOCK = 65_536  # Bytes that are written at once.
+ENDLESS_PARTS = (
+    (b"", b"HTTP/1.1 102 Wait\r\n\r\n"),
+    (b"", b"\r\n"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", b"a"),
+    (b"HTTP/1.1 200 OK\r\nHoistmoor-Response-Signature: s\r\n\r\n", b"a"),
+    (b"HTTP/1.1 500 Broken\r\n\r\n", b"a"),
+)
 LIMIT = "4.5"
 INVALID_LIMIT = "soon"
 
@@ -85,9 +99,12 @@
     def __init__(self, server_id: str) -> None:
         self.server_id = server_id
         self.born = int(time.time() * 1000)
+        self._random = random.Random(self.born)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Executes or declines one request."""
+        if request.path == HEALTH_PATH:
+            return web.Response()
         request_id, tenant, left = (
             request.headers.get(name, "") for name in _HEADERS
         )
@@ -132,9 +149,23 @@
         }
         if request.path.startswith("/stream/"):
             return await self._stream(request, request_id, headers)
+        if self.server_id == ENDLESS and is_in_phase(ENDLESS_PHASE, now):
+            await self._send_endlessly(request)
         await asyncio.sleep(WORK_SECONDS)
         return web.Response(body=response_body(request_id), headers=headers)
 
+    async def _send_endlessly(self, request: web.Request) -> None:
+        """Sends bytes until the relay closes the connection."""
+        first, repeated = self._random.choice(ENDLESS_PARTS)
+        block = repeated * (ENDLESS_BLOCK // len(repeated))
+        transport = request.transport
+        assert transport is not None
+        transport.write(first)
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < ENDLESS_BLOCK:
+                transport.write(block)
+            await asyncio.sleep(0)
+
     def _write_line(self, line: dict[str, object]) -> None:
         sys.stdout.buffer.write(orjson.dumps(line) + b"\n")
         sys.stdout.buffer.flush()
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -16,6 +16,7 @@
 import attrs
 import link_proxy
 import orjson
+import soak_backend
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -91,7 +92,12 @@
             "version": version,
             "routes": routes,
             "services": [
-                {"name": name, "max_connections": 100} for name in SERVICES
+                {
+                    "name": name,
+                    "max_connections": 100,
+                    "health_path": soak_backend.HEALTH_PATH,
+                }
+                for name in SERVICES
             ],
             "tenants": [{"name": "farm", "api_keys": keys}],
         }
@@ -131,6 +137,17 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def resident_bytes(self) -> int:
+        """Returns the memory that the process uses; 0 if it does not run."""
+        if self.process is None:
+            return 0
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0
+        pages = int((status.split() or ["0", "0"])[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
     async def wait_or_kill(self, timeout: float) -> None:
         """Waits for the process to exit and kills it after a timeout."""
         assert self.process is not None
@@ -327,6 +344,13 @@
             or ('"library_message"' in line and '"error":null' not in line)
         ]
 
+    def relay_sizes(self) -> list[tuple[str, int]]:
+        """Returns the resident bytes of each relay that runs, by name."""
+        return [
+            (relay.program.name, relay.program.resident_bytes())
+            for relay in self.relays
+        ]
+
     def executions(self) -> Iterator[dict[str, Any]]:
         """Yields a line for each request that a backend server executed."""
         return self._lines(b'{"run"')
