Do not pass on a status that promises what the server did not

What callers saw: a server that ran a booking, failed and answered 503, 429 or 408 without saying that it did not run it.

Cause: a status was taken for more than its sender said. Only a response that declines the request says that it did not run.

Now the request's machine treats such a response as a failure of the server, on all routes and also where its body is too large to be held: it is repeated where that is allowed, else the caller gets 502, which promises nothing and bears no signature. The project's own interface (`entry`) is not changed.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -48,6 +48,11 @@
     _State.DECLINED: refusals.Reason.BACKEND_DECLINED,
 }
 
+# Statuses that tell callers that a request has not run and never will. Of a
+# server's response they say so only if it also declines the request.
+_PROMISES = frozenset({408, 421, 429, 503})
+_MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
+
 # Conditions that exclude all servers and are reported to the caller.
 _REASON_BY_BAR = {
     eligibility.IneligibilityReason.COLD: refusals.Reason.NO_CAPACITY,
@@ -183,7 +188,11 @@
             return messages.Deliver()
         if event.state is _State.ANSWERED and not event.asks_rest:
             self._failed_versions |= {self.server.entry.version}
-        can_deliver = event.state is _State.ANSWERED and not self._has_begun
+        can_deliver = (
+            event.state is _State.ANSWERED
+            and not self._has_begun
+            and event.status not in _PROMISES
+        )
         self._exclude_server(event)
         self._fall_back_to_small(event.state)
         if self._may_retry(event.state, now):
@@ -228,7 +237,16 @@
         """
         if self._has_begun:
             return not 200 <= event.status < 300
-        return event.status >= 500
+        return self.is_failure(event.status)
+
+    @staticmethod
+    def is_failure(status: int) -> bool:
+        """Returns whether a response with a status is a server's failure.
+
+        A request that a server has run must not be answered with a status that
+        promises the opposite, whatever the server meant by it.
+        """
+        return status >= _MIN_FAILURE_STATUS or status in _PROMISES
 
     def _record_end(self, event: messages.AttemptEnded) -> None:
         outcome = outcomes.OUTCOME_BY_STATE[event.state]
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -37,8 +37,6 @@
 
 _State = outcomes.ExchangeState
 
-_MIN_FAILURE_STATUS = 500  # Lowest status code that counts as server failure.
-
 # Final states in which the server no longer works on the request.
 _FINISHED = frozenset({_State.UNSENT, _State.ANSWERED, _State.DECLINED})
 
@@ -511,7 +509,7 @@
         if self._held.may_hold(self._held_body, size):
             self._held.resize(self._held_body, size)
             return
-        if attempt.status >= _MIN_FAILURE_STATUS:
+        if self._machine.is_failure(attempt.status):
             raise exchange_errors.BackendOversizeError(
                 attempt.exchange.state, framing.Place.FAILURE_BODY, size
             )
