Refuse all keys once the last client account is gone

Cause: an empty list was read like a missing one, which asks for no key. A configuration has accounts, maybe none, or does not name them; only in the second case no key is asked for.

--- a/src/hoistmoor/core/relay/accounts/policy.py
+++ b/src/hoistmoor/core/relay/accounts/policy.py
@@ -34,7 +34,7 @@
     """Returns the policy that a configuration contains."""
     own = {
         account.name: account.priority
-        for account in found.accounts
+        for account in found.accounts or ()
         if account.priority is not None
     }
     return AccountPolicy(
--- a/src/hoistmoor/core/relay/beliefs/configuration.py
+++ b/src/hoistmoor/core/relay/beliefs/configuration.py
@@ -145,14 +145,15 @@
             by one.
         routes: Routes, in no particular order.
         services: Services by name.
-        accounts: Client accounts; empty if no route requires an API key.
+        accounts: Client accounts; None if no route requires an API key. While
+            there are none, no key is valid.
         limits: Limits on callers' requests and connections.
     """
 
     revision: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
-    accounts: tuple[ClientAccount, ...] = ()
+    accounts: tuple[ClientAccount, ...] | None = None
     limits: Limits = Limits()
 
     def find_route(self, host: str, path: str) -> Route | None:
@@ -183,5 +184,7 @@
     @functools.cached_property
     def _accounts_by_key(self) -> dict[str, ClientAccount]:
         return {
-            key: account for account in self.accounts for key in account.keys
+            key: account
+            for account in self.accounts or ()
+            for key in account.keys
         }
--- a/src/hoistmoor/platform/codec.py
+++ b/src/hoistmoor/platform/codec.py
@@ -135,7 +135,7 @@
         revision=fields["version"],
         routes=tuple(_route(each) for each in fields["routes"]),
         services={each["name"]: _service(each) for each in fields["services"]},
-        accounts=tuple(_account(each) for each in fields.get("tenants") or ()),
+        accounts=_accounts(fields),
         limits=_limits(fields.get("limits") or {}),
     )
 
@@ -183,6 +183,15 @@
     )
 
 
+def _accounts(
+    fields: dict[str, Any],
+) -> tuple[configuration.ClientAccount, ...] | None:
+    """Returns the client accounts; None if the manifest has no such field."""
+    if "tenants" not in fields:
+        return None
+    return tuple(_account(each) for each in fields["tenants"] or ())
+
+
 def _account(fields: dict[str, Any]) -> configuration.ClientAccount:
     return configuration.ClientAccount(
         name=fields["name"],
--- a/src/hoistmoor/relay/front/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -94,7 +94,7 @@
                 refusals.Reason.UNKNOWN_CALL, "no route has this host and path"
             )
         account = None
-        if config.accounts and not route.anonymous:
+        if config.accounts is not None and not route.anonymous:
             if not lease.is_valid(now):
                 return self._refuse_as_stale()
             account = config.find_account(self._key_of(head))
--- a/tests/platform/test_platform_codec.py
+++ b/tests/platform/test_platform_codec.py
@@ -110,6 +110,36 @@
     assertions.assert_that(account.name, matchers.Equals("farm"))
 
 
+@pytest.mark.parametrize("tenants", [[], None])
+def test_accounts_that_are_named_but_empty_make_no_key_valid(
+    tenants: list[object] | None,
+) -> None:
+    found = CODEC.configuration(
+        record("config", {**CONFIG, "tenants": tenants})
+    )
+    assert found is not None
+    assertions.assert_that(found.accounts, matchers.Equals(()))
+
+
+def test_a_manifest_without_accounts_asks_for_no_key() -> None:
+    fields = {name: CONFIG[name] for name in CONFIG if name != "tenants"}
+    found = CODEC.configuration(record("config", fields))
+    assert found is not None
+    assertions.assert_that(found.accounts, matchers.Is(None))
+
+
+@pytest.mark.parametrize("path", ["/healthz", None])
+def test_decodes_the_health_path_of_a_service(path: str | None) -> None:
+    service = {"name": "a", "max_connections": 9, "health_path": path}
+    found = CODEC.configuration(
+        record("config", {**CONFIG, "services": [service]})
+    )
+    assert found is not None
+    assertions.assert_that(
+        found.services["a"].health_path, matchers.Equals(path or "")
+    )
+
+
 def test_records_with_other_keys_are_not_decoded() -> None:
     assertions.assert_that(
         CODEC.configuration(record("rollout/a", {})), matchers.Is(None)
--- a/tests/relay/front/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -554,3 +554,19 @@
     await harness.until(lambda: not fleet.evacuated)
     async with harness.call("/confirm/x") as reply:
         assertions.assert_that(reply.status, matchers.Equals(200))
+
+
+@pytest.mark.parametrize("key", ["key1", "never"])
+async def test_no_key_is_valid_once_the_last_account_is_gone(
+    harness: Harness, key: str
+) -> None:
+    # All keys were accepted, those that had been taken away as well.
+    backend = await harness.add_backend("s1", answer_done)
+    newer = relay_parts.make_configuration(2, accounts=())
+    await harness.platform.publish(harness.platform.operator, "config", newer)
+    await harness.until(lambda: harness.state.configuration is newer)
+    async with harness.call(
+        "/look/", headers={"Authorization": f"Bearer {key}"}
+    ) as reply:
+        assertions.assert_that(reply.status, matchers.Equals(401))
+    assertions.assert_that(backend.requests, matchers.Equals([]))
