End time limits of more than five seconds on time

What callers saw: a request with a time limit above 5 s ended up to a second after it. Cause: the HTTP client rounds such timers up to whole seconds, which exchanges with servers, direct or forwarded, do not ask for any more. The test fails before.

--- a/src/hoistmoor/clients/exchange.py
+++ b/src/hoistmoor/clients/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Mapping
+import math
 from typing import Self, TYPE_CHECKING
 
 import aiohttp
@@ -232,6 +233,7 @@
                 total=self._timeouts.total,
                 connect=self._timeouts.connect,
                 sock_read=self._timeouts.read,
+                ceil_threshold=math.inf,  # Ends on time, not up to 1 s later.
             ),
             trace_request_ctx=self,
         )
--- a/tests/clients/test_clients_exchange.py
+++ b/tests/clients/test_clients_exchange.py
@@ -6,6 +6,7 @@
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
+from aiohttp import helpers
 import ended_exchange
 import pytest
 from testtools import assertions
@@ -328,3 +329,24 @@
     async with aiohttp.ClientSession() as plain:
         with pytest.raises(errors.ConfigurationError):
             exchange.Exchange(plain, make_request("127.0.0.1:1"))
+
+
+async def test_a_long_time_limit_ends_on_time(
+    session: aiohttp.ClientSession, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Limits of more than five seconds ended up to a second late.
+    seen: list[aiohttp.ClientTimeout] = []
+
+    async def record(*_: Any, **options: Any) -> None:
+        seen.append(options["timeout"])
+        raise aiohttp.ClientConnectionError
+
+    monkeypatch.setattr(session, "_request", record)
+    attempt = exchange.Exchange(
+        session, make_request("127.0.0.1:1"), exchange.Timeouts(total=6.3)
+    )
+    with pytest.raises(exchange_errors.ExchangeError):
+        async for _ in attempt:
+            pass
+    due = helpers.calculate_timeout_when(100.2, 6.3, seen[0].ceil_threshold)
+    assertions.assert_that(due, matchers.Equals(106.5))
