--- a/src/hoistmoor/core/relay/versions/progress.py
+++ b/src/hoistmoor/core/relay/versions/progress.py
@@ -28,6 +28,10 @@
         is_doubted: Whether the pooled counts of several hosts show that the
             target is bad. Hosts notify each other of this directly instead of
             waiting for the record in the store.
+        others: Versions that requests were kept at while the target was not
+            proved.
+        is_presumed: Whether it counts as complete only because an earlier
+            rollout of the target was.
     """
 
     order: phases.Order
@@ -39,6 +43,8 @@
     spread_sent: int = 0
     spread_target: int = 0
     is_doubted: bool = False
+    others: set[str] = attrs.field(factory=set)
+    is_presumed: bool = False
     times: attempt_times.AttemptTimes = attrs.field(
         factory=attempt_times.AttemptTimes
     )
--- a/src/hoistmoor/core/relay/versions/rollouts.py
+++ b/src/hoistmoor/core/relay/versions/rollouts.py
@@ -24,6 +24,17 @@
     return order.target, order.duration, order.place.offset
 
 
+def _was_kept_at(known: progress_lib.Progress, version: str) -> bool:
+    """Returns whether an order takes back the one before it.
+
+    Args:
+        known: The rollout before.
+        version: Target of the new order.
+    """
+    is_open = known.phase is not phases.Phase.COMPLETE
+    return is_open and version in known.others
+
+
 class RolloutRegistry:
     """All rollouts known to this host.
 
@@ -80,12 +91,32 @@
                 return False
         applied = self._applied.setdefault(order.service, set())
         applied.add(_key_of(order))
-        self.progress[order.service] = progress_lib.Progress(order, now)
+        progress = progress_lib.Progress(order, now)
+        if known is not None and _was_kept_at(known, order.target):
+            progress.phase = phases.Phase.COMPLETE
+        self.progress[order.service] = progress
         record = self._phases.get((order.service, order.target))
         if record is not None:
             self.apply_phase(record)
+        self._presume(progress)
         return True
 
+    def _presume(self, progress: progress_lib.Progress) -> None:
+        """Completes a rollout whose target has all requests already.
+
+        There may be no other version left that could get the rest.
+        """
+        complete = self._complete.get(progress.order.service)
+        is_established = (
+            complete is not None and complete.target == progress.order.target
+        )
+        if is_established and progress.phase is phases.Phase.TRIAL:
+            progress.phase = phases.Phase.COMPLETE
+            progress.is_presumed = True
+        elif progress.is_presumed and not is_established:
+            progress.phase = phases.Phase.TRIAL
+            progress.is_presumed = False
+
     def _renumber(
         self, known: progress_lib.Progress, order: phases.Order
     ) -> None:
@@ -116,6 +147,9 @@
         progress = self.progress.get(record.service)
         if progress is not None and record.belongs_to(progress.order):
             progress.phase = record.phase
+            progress.is_presumed = False
+        elif progress is not None:
+            self._presume(progress)
         return known != record
 
     def counted(
@@ -227,6 +261,7 @@
         )
         if may_join and self._may_use_target(progress, versions, session, now):
             return target
+        progress.others |= others
         return others
 
     def _may_use_target(
