Take start times of servers' entries for their own service only

Cause: the first entry with a start time counted for the whole fleet. It now counts for the service that it names. A foreign entry that names a service of the deployment still decides for that one: open. The test fails before.

--- a/src/hoistmoor/relay/store/server_listener.py
+++ b/src/hoistmoor/relay/store/server_listener.py
@@ -27,8 +27,8 @@
         # usable record is always passed on, since other hosts may have copied
         # the unusable one from this host.
         self._unusable: dict[str, topics.Place] = {}
-        # Whether server entries have start times.
-        self._has_start_times = False
+        # Services whose servers' entries have start times.
+        self._dated_services: set[str] = set()
 
     def __call__(self, update: follower.Update) -> tuple[topics.Record, ...]:
         """Applies one update; heartbeats without changes are not passed on."""
@@ -131,25 +131,31 @@
     def _decode(self, record: topics.Record) -> server_lib.ServerEntry:
         """Returns the entry in a record.
 
-        Once one server's entry has a start time, entries without one are
-        rejected, and those that were accepted before are removed.
+        Once the entry of one server of a service has a start time, entries for
+        the service without one are rejected, and those that were accepted
+        before are removed. Other services' servers may report none.
 
         Raises:
             CodecError: The record is not an entry, or lacks a start time.
         """
         entry = self._codec.server(record)
-        if entry.born is not None and not self._has_start_times:
-            self._has_start_times = True
-            for each in self._fleet:
-                if each.entry.born is None:
-                    self._fleet.remove(each.entry.server_id)
-        if entry.born is None and self._has_start_times:
+        is_dated = entry.service in self._dated_services
+        if entry.born is not None and not is_dated:
+            self._dated_services.add(entry.service)
+            self._remove_undated(entry.service)
+        if entry.born is None and is_dated:
             raise errors.CodecError(
                 f"record {record.place.text} of {record.key} has no start time",
                 "Inspect the record in the store.",
             )
         return entry
 
+    def _remove_undated(self, service: str) -> None:
+        """Removes the servers of a service without a start time."""
+        for each in self._fleet:
+            if each.entry.born is None and each.entry.service == service:
+                self._fleet.remove(each.entry.server_id)
+
     def _remove(self, server_id: str, grace_ends: float) -> None:
         if self._state.clock() < grace_ends:
             self._fleet.schedule_expiry(server_id, grace_ends)
--- a/tests/relay/store/test_relay_follower.py
+++ b/tests/relay/store/test_relay_follower.py
@@ -246,6 +246,22 @@
     assertions.assert_that(known_servers(rig), matchers.Equals(["a", "b"]))
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_start_times_of_a_foreign_service_say_nothing_of_others(
+    rig: Rig,
+    platform: relay_platform.MemoryPlatform,
+    servers: follower.TopicFollower,
+    is_first: bool,
+) -> None:
+    # All servers were removed for an entry of a service that nobody names.
+    foreign = relay_parts.make_entry("x", service="foreign", born=1000)
+    entries = [foreign, *(relay_parts.make_entry(name) for name in "ab")]
+    for entry in entries if is_first else reversed(entries):
+        await platform.publish(platform.servers, entry.server_id, entry)
+    await servers.read_once()
+    assertions.assert_that(known_servers(rig), matchers.Equals(["a", "b", "x"]))
+
+
 async def test_new_start_of_server_is_passed_on(
     rig: Rig,
     platform: relay_platform.MemoryPlatform,
