Wait a second before a server that does not respond gets nothing

A server on a busy machine may take half a second to respond to a probe, and requests were refused while that held for all (soak at a load of 27). Others are preferred after 0.05 s as before, which is what spares callers.

--- a/src/hoistmoor/core/relay/servers/silence.py
+++ b/src/hoistmoor/core/relay/servers/silence.py
@@ -39,7 +39,7 @@
 # Seconds without a response to a probe from which other servers are preferred,
 # and from which a server gets nothing, as none of them may be left.
 SUSPICION_SECONDS = 0.05
-CONFIRMATION_SECONDS = 0.5
+CONFIRMATION_SECONDS = 1.0
 # Seconds between probes that could not be sent.
 PROBE_INTERVAL = 0.5
 # Seconds after its latest request for which a server that cannot be probed
