Probe a server only once it is clearly later than usual

A quarter second, and half of the route's target, are late enough; callers' times under stopped servers are measured against time limits of 1.5 s and more.

--- a/src/hoistmoor/core/relay/servers/silence.py
+++ b/src/hoistmoor/core/relay/servers/silence.py
@@ -25,10 +25,10 @@
 
 # Seconds without a response before a server may count as quiet. A process on a
 # busy machine may wait that long for its turn.
-MIN_PATIENCE = 0.1
-# The same as a fraction of the target latency of the route: a server within
-# the target is not worth a probe.
-TARGET_FRACTION = 0.25
+MIN_PATIENCE = 0.25
+# The same as a fraction of the target latency of the route: a response within
+# the target needs no other server.
+TARGET_FRACTION = 0.5
 # Seconds since the latest bytes of a server for which it counts as responding.
 RESPONDING_SECONDS = 0.5
 # Weights of the newest quiet time in the mean and in the deviation, and the
