--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -677,7 +677,8 @@
     for seed in arguments.seeds:
         folder = arguments.logs or pathlib.Path(tempfile.mkdtemp())
         folder = folder / f"seed-{seed}"
-        folder.mkdir(parents=True, exist_ok=True)
+        # The records of an earlier run must not be taken for this one's.
+        folder.mkdir(parents=True)
         violations = asyncio.run(
             run_seed(
                 seed,
