Send on to silent servers where no other is left

The refusals were at once, where all servers of a service were silent: nobody knows then that a request can't be served, as a stopped server answers what it finds when it goes on. Such servers are no last resort any more, they are the only one left. The preference for others, from which callers gain, stays.

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -63,7 +63,6 @@
     eligibility.IneligibilityReason.UNREACHABLE: (
         refusals.Reason.BACKEND_UNREACHABLE
     ),
-    eligibility.IneligibilityReason.SILENT: refusals.Reason.NO_CAPACITY,
 }
 
 
--- a/src/hoistmoor/core/relay/servers/eligibility.py
+++ b/src/hoistmoor/core/relay/servers/eligibility.py
@@ -14,8 +14,6 @@
 
 import attrs
 
-from hoistmoor.core.relay.servers import silence as silence_lib
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
 
@@ -37,7 +35,6 @@
     EVACUATED = "evacuated"
     RESTING = "resting"
     UNREACHABLE = "unreachable"
-    SILENT = "silent"
     COLD = "cold"
     LIMITED = "limited"
     FULL = "full"
@@ -50,7 +47,6 @@
         IneligibilityReason.RESTING,
         IneligibilityReason.LIMITED,
         IneligibilityReason.UNREACHABLE,
-        IneligibilityReason.SILENT,
         IneligibilityReason.FULL,
     }
 )
@@ -84,7 +80,6 @@
         reachability: reachability_lib.Reachability,
     ) -> None:
         self.evacuated: frozenset[str] = frozenset()
-        self._reachability = reachability
         # Ordered so that the cheapest and most frequent reasons come first.
         self._checks: tuple[tuple[IneligibilityReason, _WaitFunction], ...] = (
             (IneligibilityReason.GONE, _wait_while_gone),
@@ -95,7 +90,6 @@
                 IneligibilityReason.UNREACHABLE,
                 reachability.wait_while_unreachable,
             ),
-            (IneligibilityReason.SILENT, self._wait_while_silent),
             (IneligibilityReason.COLD, headroom.wait_while_cold),
             (IneligibilityReason.LIMITED, headroom.wait_for_rate_limit),
             (IneligibilityReason.FULL, headroom.wait_while_brittle),
@@ -143,16 +137,6 @@
         ]
         return max(waits, key=lambda outlook: outlook.wait)
 
-    def _wait_while_silent(
-        self, state: server_lib.ServerState, now: float
-    ) -> float:
-        if not state.silence.is_silent(now):
-            return 0.0
-        # Another host, which the server may respond to, would send instead.
-        if not self._reachability.links.is_usable(state, now):
-            return 0.0
-        return silence_lib.EXPECTED_WAIT
-
     def _wait_for_evacuation(
         self, state: server_lib.ServerState, now: float
     ) -> float:
--- a/src/hoistmoor/core/relay/servers/silence.py
+++ b/src/hoistmoor/core/relay/servers/silence.py
@@ -7,9 +7,12 @@
 
 A server counts as quiet once nothing has arrived from it, on any connection,
 for longer than it usually takes (a retransmission timeout as in RFC 6298). Its
-health path is then requested. While it does not respond to that at once, others
-are preferred, and soon it gets nothing until it responds. One that is slow, as
-an engine that reads a long prompt, responds.
+health path is then requested. While it does not respond to that at once,
+others are preferred. One that is slow, as an engine that reads a long prompt,
+responds.
+
+Where no other is left, requests are sent all the same: nobody knows when a
+server goes on, and it answers what it then finds.
 """
 
 from __future__ import annotations
@@ -37,7 +40,7 @@
 DEVIATION_WEIGHT = 0.25
 USUAL_DEVIATIONS = 4.0
 # Seconds without a response to a probe from which other servers are preferred,
-# and from which a server gets nothing, as none of them may be left.
+# and from which a server is reported as silent.
 SUSPICION_SECONDS = 0.05
 CONFIRMATION_SECONDS = 1.0
 # Seconds between probes that could not be sent.
@@ -45,8 +48,6 @@
 # Seconds after its latest request for which a server that cannot be probed
 # counts as quiet.
 FORGETTING_SECONDS = 1.0
-# Seconds until a silent server is expected to respond, for refused callers.
-EXPECTED_WAIT = 1.0
 
 # Outcomes of requests that the server has responded to, or whose connection it
 # has closed.
@@ -120,7 +121,7 @@
         return now - self.probed_at > SUSPICION_SECONDS
 
     def is_silent(self, now: float) -> bool:
-        """Returns whether it does not respond to a probe either."""
+        """Returns whether it has not responded to a probe for long."""
         if self.probed_at is None:
             return False
         return now - self.probed_at > CONFIRMATION_SECONDS
--- a/src/hoistmoor/relay/links/forward_handler.py
+++ b/src/hoistmoor/relay/links/forward_handler.py
@@ -201,8 +201,6 @@
         """
         known = forward_headers.parse_notices(request.headers)
         now = self._state.clock()
-        if server.silence.is_silent(now):
-            raise _NotSentError(_Result.UNREACHABLE)
         if not notices.prohibits_forwarding(server, known, now):
             return
         if forward_headers.NOTICES not in request.headers:
