Give a stream no length that its rest may not keep

Found on reading again: a stream whose first server named a length passed it on, and the rest from another server was cut at it. Streams are sent in chunks as before. The test fails before.

--- a/src/hoistmoor/relay/front/caller_response.py
+++ b/src/hoistmoor/relay/front/caller_response.py
@@ -50,20 +50,24 @@
         self,
         head: exchange_lib.ResponseHead,
         open_buffer: Callable[[WriteTransport], held_bytes.StreamBuffer],
+        *,
+        is_resumable: bool,
     ) -> None:
         """Sends a server's response head; the body follows as it comes.
 
         Args:
             head: Head of the response.
             open_buffer: Returns the buffer of a stream to a transport.
+            is_resumable: Whether another server may send the rest, so that the
+                length of the body is not known.
         """
         response = web.StreamResponse(
             status=head.status, headers=forwarding.without_hop(head.headers)
         )
         length = head.headers.get("Content-Length", "")
-        if length.isascii() and length.isdigit():
+        if length and not is_resumable:
             response.content_length = int(length)
-        elif self._request.version >= HttpVersion11:
+        elif is_resumable or self._request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         await self._prepare(response)
         if self._request.transport is not None:
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -488,7 +488,9 @@
             self._state.record_served(self._request, attempt.send)
         if self._answer.response is None:
             assert attempt.head is not None
-            await self._answer.start(attempt.head, self._open_buffer)
+            await self._answer.start(
+                attempt.head, self._open_buffer, is_resumable=True
+            )
             self._machine.record_response_started()
         await self._answer.write(events)
 
@@ -520,7 +522,9 @@
         assert attempt.head is not None
         attempt.is_passed_on = True
         self._machine.record_passed_on()
-        await self._answer.start(attempt.head, self._open_buffer)
+        await self._answer.start(
+            attempt.head, self._open_buffer, is_resumable=False
+        )
         held, attempt.body = attempt.body, []
         self._held.resize(self._held_body, 0)
         for data in held:
--- a/tests/relay/front/test_relay_unbounded_responses.py
+++ b/tests/relay/front/test_relay_unbounded_responses.py
@@ -171,3 +171,39 @@
         async for data in response.content.iter_chunked(BLOCK):
             size += len(data)
     assertions.assert_that(size, matchers.Equals(LARGE))
+
+
+async def test_a_resumed_stream_has_no_length_of_its_first_part(
+    harness: Harness,
+) -> None:
+    async def answer(
+        _: Backend, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Breaks off a stream with a length, or sends a longer rest."""
+        first = b"id: 1\ndata: a\n\n"
+        rest = b"id: 2\ndata: a longer event\n\n"
+        is_resumed = b"last-event-id" in request.lower()
+        body = rest if is_resumed else first
+        writer.write(
+            STATUS
+            + NAMES
+            + b"Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n"
+            % (len(body) if is_resumed else 2 * len(first))
+            + body
+        )
+        await writer.drain()
+        writer.close()
+
+    await harness.add_backend("s1", answer, service="llm")
+    await harness.add_backend("s2", answer, service="llm")
+    headers = {
+        "X-Model": "small",
+        "X-Tokens": "10,5",
+        "X-Prompt-Parts": "a:4,b:6",
+    }
+    async with harness.call("/chat/x", data=b"x", headers=headers) as response:
+        body = await response.read()
+    assertions.assert_that(
+        body,
+        matchers.Equals(b"id: 1\ndata: a\n\nid: 2\ndata: a longer event\n\n"),
+    )
