--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -50,7 +50,7 @@
     (b"", b"\r\n"),
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0"),
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", b"a"),
-    # With a length, as a body without one is complete when its server is killed.
+    # A body without a length would be complete when its server is killed.
     (
         b"HTTP/1.1 200 OK\r\nHoistmoor-Response-Signature: s\r\n"
         b"Content-Length: 99999999999\r\n\r\n",
