--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -45,8 +45,9 @@
         forwarders.ForwardResult.BARRED,
     }
 )
-# Results that say nothing about other paths to the server.
-_NO_OTHER_PATH = frozenset(
+# Results after which the server is not used for the request again, whichever
+# host would send it.
+_EXCLUDING = frozenset(
     {forwarders.ForwardResult.UNREACHABLE, forwarders.ForwardResult.BARRED}
 )
 # States in which a lost link can leave an attempt.
@@ -263,7 +264,7 @@
     def may_use_server(self) -> bool:
         """Whether another attempt may use the same server."""
         return self.was_not_forwarded and (
-            self.forward_result not in _NO_OTHER_PATH
+            self.forward_result not in _EXCLUDING
             or (
                 self.forward_result is forwarders.ForwardResult.UNREACHABLE
                 and self.is_reached_by_others
