Reject responses with an invalid status line

Cause: the HTTP library takes any three digits for a status, and four protocol names for HTTP/1; what decides by status compares with 300 and 500 alone.

The head is checked as it was received, once for all who read responses (servers, other hosts, the store, entry's engines), so that no second place has to: the status line must be of HTTP/1.0 or 1.1, and the status from 100 to 599 without 101, which nothing here asks for. RFC 9110, 15 lets a status beyond 599 count as a server's failure, which it was; it is treated alike now.

Ruled out: more checks at each place that reads a status (four, and the next one would be forgotten); the library's strict mode, which also refuses lines that end with LF and fields such as Server that come twice.

--- a/src/hoistmoor/clients/exchange_errors.py
+++ b/src/hoistmoor/clients/exchange_errors.py
@@ -8,6 +8,7 @@
 from hoistmoor.core import errors
 from hoistmoor.core import framing
 from hoistmoor.core import outcomes
+from hoistmoor.core import response_heads
 
 if TYPE_CHECKING:
     from hoistmoor.clients import events
@@ -80,12 +81,32 @@
         self.size = size
 
 
+class BackendInvalidResponseError(BackendProtocolError):
+    """The server's response is not valid HTTP.
+
+    Attributes:
+        fault: Part that is not valid.
+    """
+
+    def __init__(
+        self, state: outcomes.ExchangeState, fault: response_heads.ResponseFault
+    ) -> None:
+        super().__init__(
+            state,
+            f"the answer has an invalid {fault}",
+            "Check what the backend server sends.",
+        )
+        self.fault = fault
+
+
 def from_transport_error(
     state: outcomes.ExchangeState, url: str, error: Exception
 ) -> ExchangeError:
     """Converts an error of the HTTP library."""
     if isinstance(error, response_handler.FramingLimitError):
         return BackendOversizeError(state, error.place, error.size)
+    if isinstance(error, response_handler.InvalidResponseError):
+        return BackendInvalidResponseError(state, error.fault)
     if state is outcomes.ExchangeState.UNSENT:
         return BackendUnreachableError(
             state,
--- a/src/hoistmoor/clients/response_handler.py
+++ b/src/hoistmoor/clients/response_handler.py
@@ -1,4 +1,4 @@
-"""Reads the bytes of responses and bounds those that are not their bodies."""
+"""Reads the bytes of responses, and rejects invalid and endless ones."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 from aiohttp import client_proto
 
 from hoistmoor.core import framing
+from hoistmoor.core import response_heads
 
 # Bytes that are parsed at once before the end of a head, so that a bound is
 # noticed soon. Most heads are shorter.
 HEAD_SLICE = 4096
 _SWITCHING_PROTOCOLS = 101
-_MIN_FINAL_STATUS = 200
+_INTERIM_STATUSES = frozenset(range(100, 200)) - {_SWITCHING_PROTOCOLS}
 
 
 class FramingLimitError(aiohttp.ClientError):
@@ -30,25 +31,41 @@
         self.size = size
 
 
+class InvalidResponseError(aiohttp.ClientError):
+    """A response is not valid HTTP.
+
+    Attributes:
+        fault: Part that is not valid.
+    """
+
+    def __init__(self, fault: response_heads.ResponseFault) -> None:
+        super().__init__(f"a response has an invalid {fault}")
+        self.fault = fault
+
+
 class ResponseHandler(client_proto.ResponseHandler):
     """Protocol of a connection to a server.
 
     aiohttp treats the end of a connection as the end of a response without a
     length, even if the connection was reset, and bounds lines, but not how many
-    interim heads, empty lines or chunk extensions there are.
+    interim heads, empty lines or chunk extensions there are. It also accepts
+    heads that are not valid.
     """
 
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
-        self._meter = framing.FramingMeter()
-        self._received = 0
+        self._reset()
         self._is_closed = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepares for the response to the next request."""
+        self._reset()
+        super().set_response_params(**options)
+
+    def _reset(self) -> None:
         self._meter = framing.FramingMeter()
+        self._heads = response_heads.HeadSplitter()
         self._received = 0
-        super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and closes a connection that sends too many."""
@@ -62,6 +79,8 @@
             begin = end
 
     def _parse(self, data: bytes) -> None:
+        if not self._meter.has_head:
+            self._heads.add(data)
         before, payload = self._body_bytes(), self._payload
         super().data_received(data)
         body = self._body_bytes()
@@ -71,7 +90,7 @@
         place = self._meter.record(len(data), body)
         # A paused parser has received bytes of the body that it has not parsed.
         if place is not None and not self._reading_paused:
-            self._reject(place)
+            self._reject(FramingLimitError(place, self._received))
 
     def _body_bytes(self) -> int:
         return self._payload.total_bytes if self._payload is not None else 0
@@ -79,10 +98,12 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues a parsed head."""
         message, _ = data
-        is_final = (
-            message.code >= _MIN_FINAL_STATUS
-            or message.code == _SWITCHING_PROTOCOLS
-        )
+        is_final = message.code not in _INTERIM_STATUSES
+        if not self._meter.has_head:
+            fault = response_heads.find_fault(self._heads.take())
+            if fault is not None:
+                self._reject(InvalidResponseError(fault))
+                return
         if is_final and self._meter.has_head:
             # Another response than the one that was asked for. The first one
             # is complete, and may still be read.
@@ -93,11 +114,10 @@
             self._meter.interim_heads += 1
         super().feed_data(data, size)
 
-    def _reject(self, place: framing.Place) -> None:
+    def _reject(self, error: aiohttp.ClientError) -> None:
         """Fails the response and closes the connection."""
         if self._is_closed:
             return
-        error = FramingLimitError(place, self._received)
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
--- /dev/null
+++ b/src/hoistmoor/core/response_heads.py
@@ -0,0 +1,77 @@
+"""Checks of the head of a response, as it was received.
+
+The HTTP library reads more than RFC 9112 and RFC 9110 allow, and what it makes
+of it is not what the server meant: a status of 000 counts as a success.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# RFC 9112, section 4. Statuses from 600 on are not defined (RFC 9110, section
+# 15), and 101 needs a request that asks for another protocol.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: [^\n]*)?\r?")
+_HEAD_END = re.compile(rb"\n\r?\n")
+_LINE_ENDS = b"\r\n"
+
+
+class ResponseFault(enum.StrEnum):
+    """Part of a response that is not valid."""
+
+    STATUS_LINE = "status_line"
+
+
+def _has_bad_status_line(head: bytes) -> bool:
+    return _STATUS_LINE.fullmatch(head.partition(b"\n")[0]) is None
+
+
+_CHECKS: tuple[tuple[ResponseFault, Callable[[bytes], bool]], ...] = (
+    (ResponseFault.STATUS_LINE, _has_bad_status_line),
+)
+
+
+def find_fault(head: bytes) -> ResponseFault | None:
+    """Returns the first fault of a head, or None.
+
+    Names of fields and lengths are checked by the HTTP library.
+
+    Args:
+        head: Status line and fields, without the empty line that ends them.
+    """
+    for fault, has_fault in _CHECKS:
+        if has_fault(head):
+            return fault
+    return None
+
+
+@attrs.define
+class HeadSplitter:
+    """Cuts the heads of a response, interim ones too, out of received bytes.
+
+    Attributes:
+        received: Bytes received after the heads that were taken.
+    """
+
+    received: bytearray = attrs.field(factory=bytearray)
+
+    def add(self, data: bytes) -> None:
+        """Adds received bytes."""
+        # Empty lines may come before a status line.
+        self.received += data if self.received else data.lstrip(_LINE_ENDS)
+
+    def take(self) -> bytes:
+        """Returns the next head, or all bytes if it has no end."""
+        received = bytes(self.received).lstrip(_LINE_ENDS)
+        end = _HEAD_END.search(received)
+        if end is None:
+            self.received.clear()
+            return received
+        self.received[:] = received[end.end() :]
+        return received[: end.start()]
--- a/src/hoistmoor/relay/front/attempt.py
+++ b/src/hoistmoor/relay/front/attempt.py
@@ -119,6 +119,7 @@
         is_dropped: Whether it was abandoned in favor of a larger model.
         is_cut: Whether the connection closed before the response was complete.
         has_timed_out: Whether the response did not start or go on in time.
+        is_invalid: Whether the response was not valid HTTP.
         detail: Description of the failure, for people.
         requests_rest: Whether the server requested a back-off with the
             response.
@@ -148,6 +149,7 @@
     is_dropped: bool = False
     is_cut: bool = False
     has_timed_out: bool = False
+    is_invalid: bool = False
     detail: str = ""
     requests_rest: bool = False
     forward_result: forwarders.ForwardResult | None = None
@@ -282,7 +284,7 @@
 
         A response that was cut off is not counted, since the server may have
         died for reasons unrelated to its version. Neither is a response that
-        requests a back-off.
+        requests a back-off. One that is not valid counts as a failure.
 
         Args:
             state: Final state of the exchange.
@@ -294,7 +296,7 @@
         is_silent = state is _State.SENT and duration > target
         is_complete = state is _State.ANSWERED
         if (
-            not (is_complete or is_silent or self.is_dropped)
+            not (is_complete or is_silent or self.is_dropped or self.is_invalid)
             or self.requests_rest
             or (self.is_link_lost and not is_complete)
         ):
@@ -305,7 +307,7 @@
             first - self.started,
             duration,
             events if is_complete else 0,
-            self.status >= _MIN_FAILURE_STATUS,
+            self.is_invalid or self.status >= _MIN_FAILURE_STATUS,
             is_whole=is_complete,
             is_silent=is_silent,
         )
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -16,6 +16,7 @@
 from hoistmoor.core.relay.course import messages
 from hoistmoor.core.relay.links import forwarders
 from hoistmoor.core.relay.memory import budget as budget_lib
+from hoistmoor.relay import response_errors
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import header_values
 from hoistmoor.relay.front import request_log
@@ -354,8 +355,10 @@
             attempt.is_cut = isinstance(
                 error, exchange_errors.BackendDisconnectedError
             )
-            if isinstance(error, exchange_errors.BackendOversizeError):
-                self._state.record_oversize(attempt.send.server, error)
+            attempt.is_invalid = isinstance(
+                error, exchange_errors.BackendInvalidResponseError
+            )
+            response_errors.record(error, self._state, attempt.send.server)
             state = attempt.exchange.state
             return _State.ANSWERING if state is _State.ANSWERED else state
         return attempt.exchange.state
--- a/src/hoistmoor/relay/links/forwarded_exchange.py
+++ b/src/hoistmoor/relay/links/forwarded_exchange.py
@@ -10,6 +10,7 @@
 
 from hoistmoor.clients import exchange_errors
 from hoistmoor.core.relay.answers import response_times
+from hoistmoor.relay import response_errors
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import server_reports
 
@@ -60,8 +61,7 @@
 
     def record_error(self, error: exchange_errors.ExchangeError) -> None:
         """Records an exchange without a complete response."""
-        if isinstance(error, exchange_errors.BackendOversizeError):
-            self._state.record_oversize(self._server, error)
+        response_errors.record(error, self._state, self._server)
         has_timed_out = isinstance(error, exchange_errors.BackendTimeoutError)
         self.record_end(error.state, has_timed_out=has_timed_out)
 
--- a/src/hoistmoor/relay/metrics.py
+++ b/src/hoistmoor/relay/metrics.py
@@ -16,6 +16,7 @@
         attempts: Attempts by the final state of their exchange.
         sends_despite_notice: Attempts sent to servers that had announced a rate
             limit, their departure or a back-off, by kind of notice.
+        invalid_responses: Responses that were not valid HTTP, by fault.
         oversize_responses: Responses of which a part was too large, by part.
         state_changes: State changes on this host, by kind.
         task_failures: Unexpected errors of background tasks, by task.
@@ -69,6 +70,12 @@
             ["place"],
             registry=self.registry,
         )
+        self.invalid_responses = prometheus_client.Counter(
+            "hoistmoor_relay_invalid_responses",
+            "Responses that ended because they were not valid HTTP.",
+            ["fault"],
+            registry=self.registry,
+        )
         self.state_changes = prometheus_client.Counter(
             "hoistmoor_relay_belief_changes",
             "Changes of what this host believes.",
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -29,7 +29,6 @@
 from hoistmoor.relay.links import link_tracker
 
 if TYPE_CHECKING:
-    from hoistmoor.clients import exchange_errors
     from hoistmoor.core.relay.course import messages
     from hoistmoor.core.relay.course import requests
 
@@ -179,21 +178,6 @@
             detail=str(error),
         )
 
-    def record_oversize(
-        self,
-        server: server_lib.ServerState,
-        error: exchange_errors.BackendOversizeError,
-    ) -> None:
-        """Records that a server sent more than a response may have."""
-        self.counters.oversize_responses.labels(error.place.value).inc()
-        self.log_change(
-            "server_response_too_large",
-            server=server.entry.server_id,
-            service=server.entry.service,
-            place=error.place.value,
-            size=error.size,
-        )
-
     def record_heard(self, server: server_lib.ServerState) -> None:
         """Records that bytes have arrived from a server."""
         now = self.clock()
--- /dev/null
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -0,0 +1,99 @@
+"""Responses that are no valid HTTP, as all clients see them.
+
+Guards against taking such a response for a success.
+"""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import ended_exchange
+import pytest
+from testtools import assertions
+from testtools import matchers
+
+from hoistmoor.clients import exchange
+from hoistmoor.clients import exchange_errors
+from hoistmoor.clients import hosts
+from hoistmoor.clients import service_client
+from hoistmoor.core import outcomes
+from hoistmoor.core import response_heads
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+    import aiohttp
+
+ATTEMPT = "h1.2.3.1"
+FIELDS = b"X-Attempt-Id: h1.2.3.1\r\n"
+BODY = b'{"hosts":[]}'
+LENGTH = b"Content-Length: %d\r\n\r\n" % len(BODY)
+OK = b"HTTP/1.1 200 OK\r\n"
+Fault = response_heads.ResponseFault
+State = outcomes.ExchangeState
+
+INVALID = {
+    "status_000": (b"HTTP/1.1 000 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
+    "status_101": (b"HTTP/1.1 101 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
+    "version": (b"HTTP/2.0 200 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
+}
+
+
+def make_handler(
+    head: bytes, body: bytes = BODY
+) -> Callable[[bytes, asyncio.StreamWriter], Any]:
+    """Returns a handler that sends a response and ends the connection."""
+
+    async def respond(_: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(head + body)
+        await writer.drain()
+        writer.close()
+
+    return respond
+
+
+def open_exchange(
+    session: aiohttp.ClientSession, address: str
+) -> exchange.Exchange:
+    """Returns an exchange with a server."""
+    request = exchange.HttpRequest("POST", f"http://{address}/x", ATTEMPT)
+    return exchange.Exchange(session, request)
+
+
+def fault_of(
+    ended: ended_exchange.EndedExchange,
+) -> response_heads.ResponseFault | None:
+    """Returns the fault with which an exchange ended."""
+    invalid = exchange_errors.BackendInvalidResponseError
+    return ended.error.fault if isinstance(ended.error, invalid) else None
+
+
+@pytest.mark.parametrize(
+    ("head", "fault"), INVALID.values(), ids=INVALID.keys()
+)
+async def test_an_exchange_rejects_an_invalid_head(
+    session: aiohttp.ClientSession,
+    make_backend: Callable[..., Any],
+    head: bytes,
+    fault: response_heads.ResponseFault,
+) -> None:
+    backend = await make_backend(make_handler(head))
+    sent = open_exchange(session, backend.address)
+    ended = await ended_exchange.run(sent)
+    assertions.assert_that(sent.state, matchers.Is(State.SENT))
+    assertions.assert_that(fault_of(ended), matchers.Is(fault))
+
+
+@pytest.mark.parametrize(
+    "head", [head for head, _ in INVALID.values()], ids=INVALID.keys()
+)
+async def test_a_call_of_a_service_rejects_an_invalid_head(
+    session: aiohttp.ClientSession,
+    make_backend: Callable[..., Any],
+    head: bytes,
+) -> None:
+    backend = await make_backend(make_handler(head))
+    client = hosts.HostListClient(session, f"http://{backend.address}")
+    with pytest.raises(service_client.ServiceUnavailableError):
+        await client.fetch()
--- a/tests/relay/front/test_relay_attempt.py
+++ b/tests/relay/front/test_relay_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import types
 from typing import Any
 
 import pytest
@@ -32,3 +33,15 @@
     )
     found = attempt.outcome(outcomes.ExchangeState.SENT, frozenset())
     assertions.assert_that(found, matchers.Is(expected))
+
+
+@pytest.mark.parametrize("is_invalid", [True, False])
+def test_only_an_invalid_response_counts_against_its_version(
+    is_invalid: bool,
+) -> None:
+    send: Any = types.SimpleNamespace(model="small")
+    nothing: Any = None
+    attempt = attempt_lib.Attempt(send, 0.0, nothing, is_invalid=is_invalid)
+    timing = attempt.measure(outcomes.ExchangeState.SENT, 0.1, 1.0, 0)
+    has_failed = timing is not None and timing.failed
+    assertions.assert_that(has_failed, matchers.Is(is_invalid))
--- a/tests/relay/front/test_relay_path.py
+++ b/tests/relay/front/test_relay_path.py
@@ -492,14 +492,16 @@
         return reply.status, await reply.text()
 
 
+@pytest.mark.parametrize("status", [b"500", b"000"])
 async def test_a_failing_version_is_reverted_in_the_store(
-    harness: Harness, monkeypatch: pytest.MonkeyPatch
+    harness: Harness, status: bytes
 ) -> None:
     async def fail(
         backend: Backend, request: bytes, writer: asyncio.StreamWriter
     ) -> None:
         writer.write(
-            b"HTTP/1.1 500 Bad\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+            b"HTTP/1.1 %b Bad\r\nX-Request-Id: r1\r\nX-Answer-Signature: s\r\n"
+            b"Content-Length: 0\r\n\r\n" % status
         )
 
     await harness.add_backend("s1", answer_done)
--- a/tests/relay/partitioned_cluster.py
+++ b/tests/relay/partitioned_cluster.py
@@ -66,6 +66,8 @@
         address: ``ip:port`` at which it listens.
         unframed_end: How streams without a length or chunks end: ``complete``,
             ``inside_an_event``, ``reset``; empty if they are sent in chunks.
+        raw_response: Bytes that it sends in place of each response, after which
+            it ends the connection; empty if it responds.
         rest: Seconds of rest for which it asks each host as it declines its
             requests; 0 if it runs them.
     """
@@ -77,6 +79,7 @@
     may_proceed: asyncio.Event = attrs.field(factory=asyncio.Event)
     address: str = ""
     unframed_end: str = ""
+    raw_response: bytes = b""
     rest: int = 0
     _server: asyncio.Server | None = None
 
@@ -116,6 +119,11 @@
     ) -> None:
         request_id = _value_of(head, b"x-request-id")
         self.arrived.append(request_id.decode())
+        if self.raw_response:
+            writer.write(self.raw_response)
+            await writer.drain()
+            writer.close()
+            return
         if self.rest:
             writer.write(
                 b"HTTP/1.1 503 Away\r\nX-Request-Id: %b\r\nX-Not-Run: 1\r\n"
