Reject responses with a line that begins with a blank

Callers got such responses: a field with a blank before its name right after the status line was taken for a field; one after another field became a part of that field's value, a length or a signature among them; and a line of a single blank after the status line ended the head, so that the real fields were read as the body ("a body that was not the runner's").

Cause: the HTTP library reads responses leniently. RFC 9112, 5.2 lets a proxy discard a response with such a line or replace the line's start by blanks; 2.2 says to reject it, or to ignore the line, after the status line. Rejected, as no server may send it, and as a signature that goes on in the next line is not what the server signed with.

--- a/src/hoistmoor/core/response_heads.py
+++ b/src/hoistmoor/core/response_heads.py
@@ -1,7 +1,8 @@
 """Checks of the head of a response, as it was received.
 
 The HTTP library reads more than RFC 9112 and RFC 9110 allow, and what it makes
-of it is not what the server meant: a status of 000 counts as a success.
+of it is not what the server meant: a status of 000 counts as a success, and a
+line that begins with a blank ends the head.
 """
 
 from __future__ import annotations
@@ -18,6 +19,9 @@
 # RFC 9112, section 4. Statuses from 600 on are not defined (RFC 9110, section
 # 15), and 101 needs a request that asks for another protocol.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: [^\n]*)?\r?")
+# RFC 9112, section 5.2: a proxy may reject such a line. Section 2.2 leaves no
+# other choice but to ignore one that follows the status line.
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
 _HEAD_END = re.compile(rb"\n\r?\n")
 _LINE_ENDS = b"\r\n"
 
@@ -26,14 +30,20 @@
     """Part of a response that is not valid."""
 
     STATUS_LINE = "status_line"
+    FOLDED_LINE = "folded_line"
 
 
 def _has_bad_status_line(head: bytes) -> bool:
     return _STATUS_LINE.fullmatch(head.partition(b"\n")[0]) is None
 
 
+def _has_folded_line(head: bytes) -> bool:
+    return _FOLDED_LINE.search(head) is not None
+
+
 _CHECKS: tuple[tuple[ResponseFault, Callable[[bytes], bool]], ...] = (
     (ResponseFault.STATUS_LINE, _has_bad_status_line),
+    (ResponseFault.FOLDED_LINE, _has_folded_line),
 )
 
 
--- a/tests/clients/test_clients_invalid_responses.py
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -37,6 +37,10 @@
     "status_000": (b"HTTP/1.1 000 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
     "status_101": (b"HTTP/1.1 101 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
     "version": (b"HTTP/2.0 200 OK\r\n" + FIELDS + LENGTH, Fault.STATUS_LINE),
+    "folded_line": (
+        OK + FIELDS + b"X-A: a\r\n b\r\n" + LENGTH,
+        Fault.FOLDED_LINE,
+    ),
 }
 
 
--- a/tests/core/test_core_response_heads.py
+++ b/tests/core/test_core_response_heads.py
@@ -47,6 +47,10 @@
         (b"HTTP/0.9 200 OK", Fault.STATUS_LINE),
         (b"RTSP/1.0 200 OK", Fault.STATUS_LINE),
         (b"", Fault.STATUS_LINE),
+        (STATUS + b"\r\n X-A: v", Fault.FOLDED_LINE),
+        (STATUS + b"\r\nX-A: v\r\n\tfolded", Fault.FOLDED_LINE),
+        (STATUS + b"\r\nX-A: v\r\n ", Fault.FOLDED_LINE),
+        (STATUS + b"\nX-A: v\n folded", Fault.FOLDED_LINE),
     ],
 )
 def test_an_invalid_head_has_a_fault(
--- a/tests/relay/front/test_relay_invalid_responses.py
+++ b/tests/relay/front/test_relay_invalid_responses.py
@@ -87,6 +87,19 @@
         b"",
     )
 } | {"no_colon": with_line(b"novalue")}
+FOLDED_LINES = {
+    "space_after_status_line": STATUS + b" \r\n" + NAMES + LENGTH + b"\r\nfake",
+    "field_after_status_line": STATUS
+    + b" X-A: v\r\n"
+    + NAMES
+    + LENGTH
+    + b"\r\nfake",
+    "space": with_line(b" X-A: v"),
+    "tab": with_line(b"\tX-A: v"),
+    "blank_only": with_line(b" "),
+    "length": with_line(b" Content-Length: 2"),
+    "in_interim_head": b"HTTP/1.1 103 E\r\nA: a\r\n b\r\n\r\n" + SOUND,
+}
 LENGTHS = {
     repr(value): STATUS + NAMES + b"Content-Length: %b\r\n\r\nfake" % value
     for value in (
@@ -105,6 +118,7 @@
 INVALID = (
     STATUS_LINES
     | NAMES_OF_FIELDS
+    | FOLDED_LINES
     | {f"length {name}": each for name, each in LENGTHS.items()}
 )
 # Unusual responses that are valid, or that cannot be taken for another one.
