Reject responses with control characters in their heads

The error, a ValueError of the library's writer, ended outside of the request's task, in the library's own handler; the log had a line library_message without the request's id ("Error handling request", "Forbidden control character").

What else would end there is any error of ours that is not foreseen; the fault mended here is that the response was accepted. RFC 9110, 5.5 calls all control characters but HTAB invalid in a value; in the reason phrase they are no characters of RFC 9112, 4. They are looked for in the head as received.

Bytes from 80 on stay valid.

--- a/src/hoistmoor/core/response_heads.py
+++ b/src/hoistmoor/core/response_heads.py
@@ -22,6 +22,8 @@
 # RFC 9112, section 5.2: a proxy may reject such a line. Section 2.2 leaves no
 # other choice but to ignore one that follows the status line.
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
+# RFC 9110, section 5.5, all of them but HTAB, and CR and LF, which end a line.
+_CONTROL_CHARACTERS = bytes({*range(32), 127} - set(b"\t\n\r"))
 _HEAD_END = re.compile(rb"\n\r?\n")
 _LINE_ENDS = b"\r\n"
 
@@ -31,6 +33,7 @@
 
     STATUS_LINE = "status_line"
     FOLDED_LINE = "folded_line"
+    CONTROL_CHARACTER = "control_character"
 
 
 def _has_bad_status_line(head: bytes) -> bool:
@@ -41,9 +44,14 @@
     return _FOLDED_LINE.search(head) is not None
 
 
+def _has_control_character(head: bytes) -> bool:
+    return len(head.translate(None, _CONTROL_CHARACTERS)) < len(head)
+
+
 _CHECKS: tuple[tuple[ResponseFault, Callable[[bytes], bool]], ...] = (
     (ResponseFault.STATUS_LINE, _has_bad_status_line),
     (ResponseFault.FOLDED_LINE, _has_folded_line),
+    (ResponseFault.CONTROL_CHARACTER, _has_control_character),
 )
 
 
--- a/tests/clients/test_clients_invalid_responses.py
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -41,6 +41,10 @@
         OK + FIELDS + b"X-A: a\r\n b\r\n" + LENGTH,
         Fault.FOLDED_LINE,
     ),
+    "control_character": (
+        OK + FIELDS + b"X-A: a\x01b\r\n" + LENGTH,
+        Fault.CONTROL_CHARACTER,
+    ),
 }
 
 
--- a/tests/core/test_core_response_heads.py
+++ b/tests/core/test_core_response_heads.py
@@ -51,6 +51,9 @@
         (STATUS + b"\r\nX-A: v\r\n\tfolded", Fault.FOLDED_LINE),
         (STATUS + b"\r\nX-A: v\r\n ", Fault.FOLDED_LINE),
         (STATUS + b"\nX-A: v\n folded", Fault.FOLDED_LINE),
+        (STATUS + b"\r\nX-A: a\x01b", Fault.CONTROL_CHARACTER),
+        (STATUS + b"\r\nX-A: \x7f", Fault.CONTROL_CHARACTER),
+        (b"HTTP/1.1 200 O\x00K", Fault.CONTROL_CHARACTER),
     ],
 )
 def test_an_invalid_head_has_a_fault(
--- a/tests/relay/front/test_relay_invalid_responses.py
+++ b/tests/relay/front/test_relay_invalid_responses.py
@@ -100,6 +100,18 @@
     "length": with_line(b" Content-Length: 2"),
     "in_interim_head": b"HTTP/1.1 103 E\r\nA: a\r\n b\r\n\r\n" + SOUND,
 }
+CONTROL_CHARACTERS = {
+    repr(value): with_line(b"X-A: " + value)
+    for value in (
+        b"a\x01b",
+        b"a\x00b",
+        b"a\x0bb",
+        b"a\x1fb",
+        b"a\x7fb",
+        b"a\rb",
+        b"\x01",
+    )
+} | {"in_reason": with_status_line(b"HTTP/1.1 200 O\x01K")}
 LENGTHS = {
     repr(value): STATUS + NAMES + b"Content-Length: %b\r\n\r\nfake" % value
     for value in (
@@ -119,6 +131,7 @@
     STATUS_LINES
     | NAMES_OF_FIELDS
     | FOLDED_LINES
+    | CONTROL_CHARACTERS
     | {f"length {name}": each for name, each in LENGTHS.items()}
 )
 # Unusual responses that are valid, or that cannot be taken for another one.
--- a/tests/relay/test_relay_invalid_responses_forwarded.py
+++ b/tests/relay/test_relay_invalid_responses_forwarded.py
@@ -20,6 +20,7 @@
 RESPONSES = {
     "status": b"HTTP/1.1 000 OK\r\n" + FIELDS,
     "folded_line": b"HTTP/1.1 200 OK\r\nX-A: a\r\n b\r\n" + FIELDS,
+    "control_character": b"HTTP/1.1 200 OK\r\nX-A: a\x01b\r\n" + FIELDS,
     "field_name": b"HTTP/1.1 200 OK\r\nX A: b\r\n" + FIELDS,
 }
 
