Reject transfer codings that are not decoded

Callers of a server that named another coding than "chunked", or "chunked" beside others or twice or in HTTP/1.0, got what was on the wire as the body: the sizes of the chunks with it, or a compressed body without the field that says so, as Transfer-Encoding concerns one connection only and is not passed on. "xchunked" counted as a body whose end is known.

Cause: the HTTP library reads a body with an unknown coding until its connection ends, and looks at the last coding only. RFC 9112, 6.1 and 6.3: such framing is faulty or cannot be decoded here; a relay sends no TE field, so that a server may use "chunked" only.

"chunked" in capitals and with blanks around it passes.

--- a/src/hoistmoor/core/response_heads.py
+++ b/src/hoistmoor/core/response_heads.py
@@ -1,8 +1,9 @@
 """Checks of the head of a response, as it was received.
 
 The HTTP library reads more than RFC 9112 and RFC 9110 allow, and what it makes
-of it is not what the server meant: a status of 000 counts as a success, and a
-line that begins with a blank ends the head.
+of it is not what the server meant: a status of 000 counts as a success, a line
+that begins with a blank ends the head, and the chunks of an unknown transfer
+coding are read as the body.
 """
 
 from __future__ import annotations
@@ -24,6 +25,13 @@
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 # RFC 9110, section 5.5, all of them but HTAB, and CR and LF, which end a line.
 _CONTROL_CHARACTERS = bytes({*range(32), 127} - set(b"\t\n\r"))
+_CODING = re.compile(
+    rb"^transfer-encoding:[ \t]*([^\n]*?)[ \t]*\r?$",
+    re.IGNORECASE | re.MULTILINE,
+)
+_CODING_NAME = b"\ntransfer-encoding"
+_CHUNKED = b"chunked"  # The only coding that responses are read in.
+_VERSION_1_1 = b"HTTP/1.1"
 _HEAD_END = re.compile(rb"\n\r?\n")
 _LINE_ENDS = b"\r\n"
 
@@ -34,6 +42,7 @@
     STATUS_LINE = "status_line"
     FOLDED_LINE = "folded_line"
     CONTROL_CHARACTER = "control_character"
+    TRANSFER_CODING = "transfer_coding"
 
 
 def _has_bad_status_line(head: bytes) -> bool:
@@ -48,10 +57,25 @@
     return len(head.translate(None, _CONTROL_CHARACTERS)) < len(head)
 
 
+def _has_bad_coding(head: bytes) -> bool:
+    """Returns whether the end of the body depends on who reads it.
+
+    RFC 9112, section 6.1: HTTP/1.0 has no transfer codings.
+    """
+    if _CODING_NAME not in head.lower():
+        return False
+    codings = _CODING.findall(head)
+    if not codings:
+        return False
+    is_chunked = [coding.lower() for coding in codings] == [_CHUNKED]
+    return not is_chunked or not head.startswith(_VERSION_1_1)
+
+
 _CHECKS: tuple[tuple[ResponseFault, Callable[[bytes], bool]], ...] = (
     (ResponseFault.STATUS_LINE, _has_bad_status_line),
     (ResponseFault.FOLDED_LINE, _has_folded_line),
     (ResponseFault.CONTROL_CHARACTER, _has_control_character),
+    (ResponseFault.TRANSFER_CODING, _has_bad_coding),
 )
 
 
--- a/tests/clients/test_clients_invalid_responses.py
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -45,6 +45,10 @@
         OK + FIELDS + b"X-A: a\x01b\r\n" + LENGTH,
         Fault.CONTROL_CHARACTER,
     ),
+    "transfer_coding": (
+        OK + FIELDS + b"Transfer-Encoding: gzip\r\n\r\n",
+        Fault.TRANSFER_CODING,
+    ),
 }
 
 
--- a/tests/core/test_core_response_heads.py
+++ b/tests/core/test_core_response_heads.py
@@ -54,6 +54,20 @@
         (STATUS + b"\r\nX-A: a\x01b", Fault.CONTROL_CHARACTER),
         (STATUS + b"\r\nX-A: \x7f", Fault.CONTROL_CHARACTER),
         (b"HTTP/1.1 200 O\x00K", Fault.CONTROL_CHARACTER),
+        (STATUS + b"\r\nTransfer-Encoding:", Fault.TRANSFER_CODING),
+        (STATUS + b"\r\nTransfer-Encoding: gzip", Fault.TRANSFER_CODING),
+        (
+            STATUS + b"\r\nTransfer-Encoding: gzip, chunked",
+            Fault.TRANSFER_CODING,
+        ),
+        (
+            STATUS + b"\r\nTransfer-Encoding: chunked" * 2,
+            Fault.TRANSFER_CODING,
+        ),
+        (
+            b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+            Fault.TRANSFER_CODING,
+        ),
     ],
 )
 def test_an_invalid_head_has_a_fault(
--- a/tests/relay/front/test_relay_invalid_responses.py
+++ b/tests/relay/front/test_relay_invalid_responses.py
@@ -127,12 +127,29 @@
         b"4\r\nTransfer-Encoding: chunked",
     )
 }
+CODINGS = {
+    repr(value): with_coding(value)
+    for value in (
+        b"",
+        b"gzip",
+        b"identity",
+        b"xchunked",
+        b"chunked;q=1",
+        b'"chunked"',
+        b"chunked, gzip",
+        b"gzip, chunked",
+        b"chunked, chunked",
+        b"chunked\r\nTransfer-Encoding: chunked",
+        b"\x0bchunked",
+    )
+} | {"old_version": with_coding(b"chunked", b"1.0")}
 INVALID = (
     STATUS_LINES
     | NAMES_OF_FIELDS
     | FOLDED_LINES
     | CONTROL_CHARACTERS
     | {f"length {name}": each for name, each in LENGTHS.items()}
+    | {f"coding {name}": each for name, each in CODINGS.items()}
 )
 # Unusual responses that are valid, or that cannot be taken for another one.
 SOUND_VARIANTS = {
