Check what ends each chunk of a body

Callers of a server that sent a chunk with a size one too large got the body with the chunk's CR as its last byte, as a complete response. A size line or a chunk that ended with LF alone passed as well.

Cause: the HTTP library accepts LF for CR LF, so that a CR that belongs to the end of a chunk may be read as data. RFC 9112, 7.1. Its strict mode would reject that, but also heads whose lines end with LF, and fields that come twice.

The chunks are followed beside the parser, and one that does not end with CR LF ends the response. What is rejected later than its first bytes is not complete: a request that may run again is sent to another server, a stream goes on there.

--- a/src/hoistmoor/clients/response_handler.py
+++ b/src/hoistmoor/clients/response_handler.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import client_proto
 
+from hoistmoor.core import chunk_scanner
 from hoistmoor.core import framing
 from hoistmoor.core import response_heads
 
@@ -49,7 +50,7 @@
     aiohttp treats the end of a connection as the end of a response without a
     length, even if the connection was reset, and bounds lines, but not how many
     interim heads, empty lines or chunk extensions there are. It also accepts
-    heads that are not valid.
+    heads and chunks that are not valid.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -65,6 +66,7 @@
     def _reset(self) -> None:
         self._meter = framing.FramingMeter()
         self._heads = response_heads.HeadSplitter()
+        self._chunks: chunk_scanner.ChunkScanner | None = None
         self._received = 0
 
     def data_received(self, data: bytes) -> None:
@@ -81,6 +83,8 @@
     def _parse(self, data: bytes) -> None:
         if not self._meter.has_head:
             self._heads.add(data)
+        elif not self._scan_chunks(data):
+            return
         before, payload = self._body_bytes(), self._payload
         super().data_received(data)
         body = self._body_bytes()
@@ -92,12 +96,19 @@
         if place is not None and not self._reading_paused:
             self._reject(FramingLimitError(place, self._received))
 
+    def _scan_chunks(self, data: bytes) -> bool:
+        """Returns whether the chunks of a body are valid so far."""
+        if self._chunks is None or self._chunks.feed(data):
+            return True
+        self._reject(InvalidResponseError(response_heads.ResponseFault.CHUNK))
+        return False
+
     def _body_bytes(self) -> int:
         return self._payload.total_bytes if self._payload is not None else 0
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queues a parsed head."""
-        message, _ = data
+        message, payload = data
         is_final = message.code not in _INTERIM_STATUSES
         if not self._meter.has_head:
             fault = response_heads.find_fault(self._heads.take())
@@ -109,11 +120,19 @@
             # is complete, and may still be read.
             self._close()
         elif is_final:
-            self._meter.has_head = True
+            self._begin_body(message, payload)
         else:
             self._meter.interim_heads += 1
         super().feed_data(data, size)
 
+    def _begin_body(self, message: Any, payload: Any) -> None:
+        self._meter.has_head = True
+        begin = bytes(self._heads.received)
+        self._heads.received.clear()
+        if message.chunked and payload is not aiohttp.EMPTY_PAYLOAD:
+            self._chunks = chunk_scanner.ChunkScanner()
+            self._scan_chunks(begin)
+
     def _reject(self, error: aiohttp.ClientError) -> None:
         """Fails the response and closes the connection."""
         if self._is_closed:
--- a/src/hoistmoor/core/response_heads.py
+++ b/src/hoistmoor/core/response_heads.py
@@ -43,6 +43,7 @@
     FOLDED_LINE = "folded_line"
     CONTROL_CHARACTER = "control_character"
     TRANSFER_CODING = "transfer_coding"
+    CHUNK = "chunk"
 
 
 def _has_bad_status_line(head: bytes) -> bool:
--- a/tests/clients/test_clients_invalid_responses.py
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -97,6 +97,20 @@
     assertions.assert_that(fault_of(ended), matchers.Is(fault))
 
 
+async def test_an_exchange_with_invalid_chunks_is_incomplete(
+    session: aiohttp.ClientSession, make_backend: Callable[..., Any]
+) -> None:
+    head = OK + FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
+    body = b"4\r\nwell\r\n5\r\nfake\r\n0\r\n\r\n"
+    backend = await make_backend(make_handler(head, body))
+    sent = open_exchange(session, backend.address)
+    ended = await ended_exchange.run(sent)
+    assertions.assert_that(
+        sent.state, matchers.Not(matchers.Is(State.ANSWERED))
+    )
+    assertions.assert_that(fault_of(ended), matchers.Is(Fault.CHUNK))
+
+
 @pytest.mark.parametrize(
     "head", [head for head, _ in INVALID.values()], ids=INVALID.keys()
 )
--- a/tests/relay/front/test_relay_invalid_responses.py
+++ b/tests/relay/front/test_relay_invalid_responses.py
@@ -143,6 +143,22 @@
         b"\x0bchunked",
     )
 } | {"old_version": with_coding(b"chunked", b"1.0")}
+CHUNKS = {
+    repr(chunks): with_chunks(chunks)
+    for chunks in (
+        b"5\r\nfake\r\n0\r\n\r\n",
+        b"3\r\nfake\r\n0\r\n\r\n",
+        b"4\r\nfake\n0\r\n\r\n",
+        b"4\nfake\r\n0\r\n\r\n",
+        b"4;a=\nfake\r\n0\r\n\r\n",
+        b"-4\r\nfake\r\n0\r\n\r\n",
+        b"+4\r\nfake\r\n0\r\n\r\n",
+        b"0x4\r\nfake\r\n0\r\n\r\n",
+        b" 4\r\nfake\r\n0\r\n\r\n",
+        b"4\r\nfake0\r\n\r\n",
+        b"4\r\nfake\r\n\r\n",
+    )
+}
 INVALID = (
     STATUS_LINES
     | NAMES_OF_FIELDS
@@ -150,6 +166,7 @@
     | CONTROL_CHARACTERS
     | {f"length {name}": each for name, each in LENGTHS.items()}
     | {f"coding {name}": each for name, each in CODINGS.items()}
+    | {f"chunks {name}": each for name, each in CHUNKS.items()}
 )
 # Unusual responses that are valid, or that cannot be taken for another one.
 SOUND_VARIANTS = {
