Give requests that outlast a planned stop a complete response

Cause: at the end the process cancelled the requests' tasks, which was read as "the caller has left".

At the end each request gets its final response: 502 and "unknown" if it may run, 503 with Retry-After if no server has got it or its body has not ended, and a connection that is cut off if a part of a response has gone out, so that it does not look complete. Each has its line in the log (reason "stopping"). The margin of 0.8 s before the kill, which stays, has room for it: 0.4 s at most.

Requests forwarded for other hosts need no change: the asking host sees the cut and answers 502 itself, or sends them on (test of the stop of a forwarding host).

--- a/src/hoistmoor/core/relay/course/machine.py
+++ b/src/hoistmoor/core/relay/course/machine.py
@@ -306,6 +306,14 @@
         self._detail = "the time allowed is over"
         return self._fail(refusals.Reason.DEADLINE_EXCEEDED)
 
+    @_on.register
+    def _(self, event: messages.HostStopped, now: float) -> messages.Effect:
+        outcome = outcomes.OUTCOME_BY_STATE[event.state]
+        if outcome is not outcomes.Outcome.NOT_RUN:
+            self.may_have_run = True
+        self._detail = "this host stops"
+        return self._fail(refusals.Reason.STOPPING)
+
     def record_response_started(self) -> None:
         """Records that the caller received part of the response."""
         self._has_begun = True
--- a/src/hoistmoor/core/relay/course/messages.py
+++ b/src/hoistmoor/core/relay/course/messages.py
@@ -82,6 +82,17 @@
     state: outcomes.ExchangeState
 
 
+@attrs.frozen
+class HostStopped:
+    """This host ends with the request in progress; no attempt is running.
+
+    Attributes:
+        state: Final state of the exchange of the last attempt.
+    """
+
+    state: outcomes.ExchangeState
+
+
 Event = (
     Started
     | RoomGranted
@@ -89,6 +100,7 @@
     | HeadArrived
     | AttemptEnded
     | DeadlineReached
+    | HostStopped
 )
 
 
--- /dev/null
+++ b/src/hoistmoor/relay/front/host_end.py
@@ -0,0 +1,43 @@
+"""Ends the requests that are in progress when this host stops."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
+    from hoistmoor.relay import state as state_lib
+
+# Seconds in which callers may take their responses, shorter than what is left
+# until the process is killed.
+END_SECONDS = 0.4
+
+
+async def end_requests(
+    state: state_lib.RelayState, running: AbstractSet[asyncio.Task[Any]]
+) -> None:
+    """Gives requests in progress their final response.
+
+    Args:
+        state: State of the relay.
+        running: Tasks of the requests, which call ``take_cancellation``.
+    """
+    state.ending = True
+    for task in running:
+        task.cancel()
+    if running:
+        await asyncio.wait(running, timeout=END_SECONDS)
+
+
+def take_cancellation(state: state_lib.RelayState) -> bool:
+    """Returns whether the current task was cancelled by ``end_requests``.
+
+    If so, the task goes on. Otherwise its caller has left.
+    """
+    task = asyncio.current_task()
+    if not state.ending or task is None:
+        return False
+    task.uncancel()
+    return True
--- a/src/hoistmoor/relay/front/http_handlers.py
+++ b/src/hoistmoor/relay/front/http_handlers.py
@@ -17,6 +17,7 @@
 from hoistmoor.relay.front import backend_connector as backend_connector_lib
 from hoistmoor.relay.front import caller_response
 from hoistmoor.relay.front import held_bytes
+from hoistmoor.relay.front import host_end
 from hoistmoor.relay.front import relay_task
 from hoistmoor.relay.front import waiting_tasks
 
@@ -26,6 +27,11 @@
     from hoistmoor.relay import state as state_lib
 
 
+_STOPPING = refusals.Refusal(
+    refusals.Reason.STOPPING, outcomes.Outcome.NOT_RUN, "this host stops"
+)
+
+
 class BodyTooLargeError(Exception):
     """A request body exceeds the configured size limit."""
 
@@ -113,6 +119,10 @@
             body = await self._read_body(request, holding)
         except NoMemoryError as error:
             return await self._refuse(head, answer, error.refusal)
+        except asyncio.CancelledError:
+            if not host_end.take_cancellation(self._state):
+                raise
+            return await self._refuse(head, answer, _STOPPING)
         except BodyTooLargeError as error:
             refusal = refusals.Refusal(
                 refusals.Reason.BODY_TOO_LARGE,
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -19,6 +19,7 @@
 from hoistmoor.relay import response_errors
 from hoistmoor.relay.front import attempt as attempt_lib
 from hoistmoor.relay.front import header_values
+from hoistmoor.relay.front import host_end
 from hoistmoor.relay.front import request_log
 from hoistmoor.relay.front import server_reports
 from hoistmoor.relay.links import forward_headers
@@ -86,7 +87,7 @@
     async def run(self) -> web.StreamResponse:
         """Runs the request and returns the response after sending it."""
         try:
-            return await self._run()
+            return await self._run_until_stop()
         except asyncio.CancelledError:
             self._log_caller_left()
             raise
@@ -100,6 +101,31 @@
             self._answer.close()
             self._held.resize(self._held_body, 0)
 
+    async def _run_until_stop(self) -> web.StreamResponse:
+        try:
+            return await self._run()
+        except asyncio.CancelledError:
+            if not host_end.take_cancellation(self._state):
+                raise
+            return await self._end_with_host()
+
+    async def _end_with_host(self) -> web.StreamResponse:
+        """Sends the response of a request that outlasts this host."""
+        state = _State.UNSENT
+        if self._current is not None:
+            state = self._current.exchange.state
+            self._attempt_summaries.append(
+                self._current.summary(state, self._now())
+            )
+        effect = self._machine.handle(messages.HostStopped(state), self._now())
+        if self._answer.response is not None:
+            # Part of a response, or all of it, is on its way to the caller.
+            effect = messages.Abort("this host stops")
+        request_log.record_request_end(
+            self._state, self._request, effect, self._attempt_summaries
+        )
+        return await self._finish(effect)
+
     def _log_caller_left(self) -> None:
         attempts = self._attempt_summaries
         current = self._current
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from hoistmoor.relay import background_tasks
+from hoistmoor.relay.front import host_end
 from hoistmoor.relay.front import http_handlers as http_handlers_lib
 from hoistmoor.relay.peers import request_handler as request_handler_lib
 from hoistmoor.utils import http_limits
@@ -28,7 +29,7 @@
 # Seconds between checks of the clock while requests finish: unlike timers, the
 # clock advances while the machine is suspended.
 STOP_POLL_INTERVAL = 0.5
-# Seconds before the forced stop at which remaining requests are cut off.
+# Seconds before the forced stop at which remaining requests are ended.
 STOP_MARGIN = 0.8
 
 
@@ -130,15 +131,16 @@
         began = state.clock()
         state.log.write("stopping", running=len(self._running()))
         state.draining = True
+        end = began + self._settings().stop_timeout - STOP_MARGIN
         await asyncio.sleep(DRAIN_SECONDS)
         state.stopping = True
-        end = began + self._settings().stop_timeout - STOP_MARGIN
         while self._running() and state.clock() < end:
             await asyncio.wait(
                 self._running(),
                 timeout=min(STOP_POLL_INTERVAL, end - state.clock()),
             )
         state.log.write("stop", left=len(self._running()))
+        await host_end.end_requests(state, self._front.running)
 
     def _running(self) -> set[asyncio.Task[Any]]:
         """Returns the requests in progress, also those of other hosts."""
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -56,6 +56,7 @@
         draining: Whether a stop signal was received; requests are still
             accepted.
         stopping: Whether new requests are refused.
+        ending: Whether requests in progress are given their final response.
         source: Name of the host from which this one reads the store's topics;
             empty while it reads the store directly.
         depth: Number of hosts between this one and the store.
@@ -94,6 +95,7 @@
     topics_read: set[str] = attrs.field(factory=set)
     draining: bool = False
     stopping: bool = False
+    ending: bool = False
     source: str = ""
     depth: int = 0
     started_at: float = attrs.field(init=False)
--- a/tests/core/relay/course/test_relay_machine.py
+++ b/tests/core/relay/course/test_relay_machine.py
@@ -269,6 +269,24 @@
     assertions.assert_that(effect.refusal.outcome, matchers.Equals(outcome))
 
 
+@pytest.mark.parametrize(
+    ("state", "outcome"),
+    [
+        (State.UNSENT, outcomes.Outcome.NOT_RUN),
+        (State.DECLINED, outcomes.Outcome.NOT_RUN),
+        (State.SENT, outcomes.Outcome.UNKNOWN),
+        (State.ANSWERED, outcomes.Outcome.UNKNOWN),
+    ],
+)
+def test_a_request_that_may_run_is_no_promise_when_its_host_stops(
+    router: router_lib.Router, state: State, outcome: outcomes.Outcome
+) -> None:
+    machine, _ = start(router, relay_parts.CONFIRM)
+    effect = machine.handle(messages.HostStopped(state), NOW)
+    refusal = get_refusal(effect)
+    assertions.assert_that(refusal.outcome, matchers.Equals(outcome))
+
+
 def test_attempts_stay_within_the_maximum_of_the_route(
     router: router_lib.Router,
 ) -> None:
