Let a server of the soak send invalid responses

In the phase in which one server sends bytes without an end it now also sends, as often, one of eight responses that are not valid.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -629,13 +629,13 @@
 def _may_get_no_response(call: RequestRecord) -> bool:
     """Returns whether the only run of a request may yield no response.
 
-    One server sends bytes without an end in place of responses, and a request
-    that may run once is not sent to another one after that.
+    One server sends what is no valid response, and a request that may run once
+    is not sent to another one after that.
     """
     if call.kind != "once":
         return False
     return any(
-        soak_backend.is_in_phase(soak_backend.ENDLESS_PHASE, at)
+        soak_backend.is_in_phase(soak_backend.BROKEN_PHASE, at)
         for at in (call.sent_at, call.ended_at)
     )
 
--- a/tests/soak/soak_backend.py
+++ b/tests/soak/soak_backend.py
@@ -41,9 +41,9 @@
 INVALID_LIMIT_PHASE = (3.0, 4.0)
 REST_PHASES = ((4.5, 6.5), (11.2, 13.8))
 LEAVING_PHASE = (7.0, 11.0)
-# Sends bytes without an end in place of a response.
-ENDLESS = "i-desk-1"
-ENDLESS_PHASE = (8.5, 10.5)
+# Sends bytes that are no valid response, with an end or without one.
+BROKEN = "i-desk-1"
+BROKEN_PHASE = (8.5, 10.5)
 ENDLESS_BLOCK = 65_536  # Bytes that are written at once.
 ENDLESS_PARTS = (
     (b"", b"HTTP/1.1 102 Wait\r\n\r\n"),
@@ -58,6 +58,20 @@
     ),
     (b"HTTP/1.1 500 Broken\r\n\r\n", b"a"),
 )
+_SIGNED = b"\r\nHoistmoor-Response-Signature: s\r\n"
+_SHORT = b"Content-Length: 4\r\n\r\nfake"
+INVALID_RESPONSES = (
+    b"HTTP/1.1 000 OK" + _SIGNED + _SHORT,
+    b"HTTP/2.0 200 OK" + _SIGNED + _SHORT,
+    b"HTTP/1.1 200 OK\r\n \r\n" + _SIGNED[2:] + _SHORT,
+    b"HTTP/1.1 200 OK" + _SIGNED + b" folded\r\n" + _SHORT,
+    b"HTTP/1.1 200 OK" + _SIGNED + b"X A: b\r\n" + _SHORT,
+    b"HTTP/1.1 200 OK" + _SIGNED + b"X-A: \x01\r\n" + _SHORT,
+    b"HTTP/1.1 200 OK" + _SIGNED + b"Transfer-Encoding: gzip\r\n\r\nfake",
+    b"HTTP/1.1 200 OK"
+    + _SIGNED
+    + b"Transfer-Encoding: chunked\r\n\r\n5\r\nfake\r\n0\r\n\r\n",
+)
 LIMIT = "4.5"
 INVALID_LIMIT = "soon"
 
@@ -154,8 +168,9 @@
         }
         if request.path.startswith("/stream/"):
             return await self._stream(request, request_id, headers)
-        if self.server_id == ENDLESS and is_in_phase(ENDLESS_PHASE, now):
-            await self._send_endlessly(request)
+        if self.server_id == BROKEN and is_in_phase(BROKEN_PHASE, now):
+            send = self._random.choice((self._send_endlessly, self._send_once))
+            await send(request)
         await asyncio.sleep(WORK_SECONDS)
         return web.Response(body=response_body(request_id), headers=headers)
 
@@ -171,6 +186,13 @@
                 transport.write(block)
             await asyncio.sleep(0)
 
+    async def _send_once(self, request: web.Request) -> None:
+        """Sends an invalid response and ends the connection regularly."""
+        transport = request.transport
+        assert transport is not None
+        transport.write(self._random.choice(INVALID_RESPONSES))
+        transport.close()
+
     def _write_line(self, line: dict[str, object]) -> None:
         sys.stdout.buffer.write(orjson.dumps(line) + b"\n")
         sys.stdout.buffer.flush()
