Finish responses that are being sent when a host stops

Found on reading again: a response that was on its way at the end of a stop was cut off at once, where the library's own shutdown had waited for a tenth of a second; now it has the same 0.4 s as the others to end. The final responses of a stop also say that the connection closes, as it does: requests that had arrived before the signal did not. A response that a helping host garbles no longer counts against the version of the server behind it.

--- a/src/hoistmoor/core/relay/course/host_stop.py
+++ b/src/hoistmoor/core/relay/course/host_stop.py
@@ -1,8 +1,8 @@
 """Which requests a host still sends on between its stop signal and its end.
 
 Answers requests that arrive while a host drains, or whose body does: sent on,
-they would be cut off with the process, and callers would not know whether they
-have run. Refused as not run, they can be sent again to another host at once.
+they would end with the process, and callers would not know whether they have
+run. Refused as not run, they can be sent again to another host at once.
 """
 
 from __future__ import annotations
--- a/src/hoistmoor/relay/front/caller_response.py
+++ b/src/hoistmoor/relay/front/caller_response.py
@@ -24,6 +24,7 @@
 
     Attributes:
         response: The HTTP response; None until it has been started.
+        keep_open: Whether the connection may be reused after the response.
     """
 
     def __init__(
@@ -43,7 +44,7 @@
         self.response: web.StreamResponse | None = None
         self._buffer: held_bytes.StreamBuffer | None = None
         self._request = request
-        self._keep_open = keep_open
+        self.keep_open = keep_open
         self._wait_for = retry_after_for
 
     async def start(
@@ -136,7 +137,7 @@
         return self.response
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if not self._keep_open:
+        if not self.keep_open:
             response.force_close()
         self.response = response
         await response.prepare(self._request)
--- a/src/hoistmoor/relay/front/host_end.py
+++ b/src/hoistmoor/relay/front/host_end.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any, TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Set as AbstractSet
 
     from hoistmoor.relay import state as state_lib
@@ -22,15 +24,28 @@
 
     Args:
         state: State of the relay.
-        running: Tasks of the requests, which call ``take_cancellation``.
+        running: Tasks of the requests, which call ``take_cancellation``. Those
+            that already send it are not interrupted.
     """
     state.ending = True
-    for task in running:
+    for task in running - state.delivering:
         task.cancel()
     if running:
         await asyncio.wait(running, timeout=END_SECONDS)
 
 
+@contextlib.contextmanager
+def delivering(state: state_lib.RelayState) -> Iterator[None]:
+    """Lets the current task send its final response although the host ends."""
+    task = asyncio.current_task()
+    assert task is not None
+    state.delivering.add(task)
+    try:
+        yield
+    finally:
+        state.delivering.discard(task)
+
+
 def take_cancellation(state: state_lib.RelayState) -> bool:
     """Returns whether the current task was cancelled by ``end_requests``.
 
--- a/src/hoistmoor/relay/front/http_handlers.py
+++ b/src/hoistmoor/relay/front/http_handlers.py
@@ -27,11 +27,6 @@
     from hoistmoor.relay import state as state_lib
 
 
-_STOPPING = refusals.Refusal(
-    refusals.Reason.STOPPING, outcomes.Outcome.NOT_RUN, "this host stops"
-)
-
-
 class BodyTooLargeError(Exception):
     """A request body exceeds the configured size limit."""
 
@@ -122,7 +117,7 @@
         except asyncio.CancelledError:
             if not host_end.take_cancellation(self._state):
                 raise
-            return await self._refuse(head, answer, _STOPPING)
+            return await self._refuse_as_stopping(head, answer)
         except BodyTooLargeError as error:
             refusal = refusals.Refusal(
                 refusals.Reason.BODY_TOO_LARGE,
@@ -131,7 +126,7 @@
             )
             return await self._refuse(head, answer, refusal)
         if not self._may_send(admitted):
-            return await self._refuse(head, answer, _STOPPING)
+            return await self._refuse_as_stopping(head, answer)
         identified = attrs.evolve(
             admitted,
             fingerprint=fingerprint.of_request(
@@ -203,6 +198,19 @@
         async for _ in request.content.iter_any():
             pass
 
+    async def _refuse_as_stopping(
+        self,
+        head: admission_lib.RequestHead,
+        answer: caller_response.CallerResponse,
+    ) -> web.StreamResponse:
+        answer.keep_open = False
+        refusal = refusals.Refusal(
+            refusals.Reason.STOPPING,
+            outcomes.Outcome.NOT_RUN,
+            "this host stops",
+        )
+        return await self._refuse(head, answer, refusal)
+
     async def _refuse(
         self,
         head: admission_lib.RequestHead,
--- a/src/hoistmoor/relay/front/relay_task.py
+++ b/src/hoistmoor/relay/front/relay_task.py
@@ -117,6 +117,7 @@
             self._attempt_summaries.append(
                 self._current.summary(state, self._now())
             )
+        self._answer.keep_open = False
         effect = self._machine.handle(messages.HostStopped(state), self._now())
         if self._answer.response is not None:
             # Part of a response, or all of it, is on its way to the caller.
@@ -141,7 +142,8 @@
             effect = await self._run_with_room()
         else:
             effect = await self._run_attempts(effect)
-        response = await self._finish(effect)
+        with host_end.delivering(self._state):
+            response = await self._finish(effect)
         request_log.record_request_end(
             self._state, self._request, effect, self._attempt_summaries
         )
@@ -381,7 +383,7 @@
             attempt.is_cut = isinstance(
                 error, exchange_errors.BackendDisconnectedError
             )
-            attempt.is_invalid = isinstance(
+            attempt.is_invalid = attempt.send.forwarder is None and isinstance(
                 error, exchange_errors.BackendInvalidResponseError
             )
             response_errors.record(error, self._state, attempt.send.server)
--- a/src/hoistmoor/relay/state.py
+++ b/src/hoistmoor/relay/state.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import attrs
 
@@ -59,6 +59,7 @@
         stopping: Whether new requests are refused.
         ending: Whether requests in progress are given their final response.
         stop: Times of the stop; None before the stop signal.
+        delivering: Tasks of requests that send their final response.
         source: Name of the host from which this one reads the store's topics;
             empty while it reads the store directly.
         depth: Number of hosts between this one and the store.
@@ -99,6 +100,7 @@
     stopping: bool = False
     ending: bool = False
     stop: host_stop.HostStop | None = None
+    delivering: set[asyncio.Task[Any]] = attrs.field(factory=set)
     source: str = ""
     depth: int = 0
     started_at: float = attrs.field(init=False)
--- a/tests/relay/front/test_relay_planned_stop.py
+++ b/tests/relay/front/test_relay_planned_stop.py
@@ -49,7 +49,17 @@
     headers = MODEL if path == STREAM else {}
     async with harness.call(path, data=b"x", headers=headers) as answer:
         has_delay = "Retry-After" in answer.headers
-        return answer.status, await answer.read(), has_delay
+        body = await answer.read()
+        if b"this host stops" in body:
+            assert_closes(answer)
+        return answer.status, body, has_delay
+
+
+def assert_closes(answer: aiohttp.ClientResponse) -> None:
+    """Asserts that the caller is told not to use the connection again."""
+    assertions.assert_that(
+        answer.headers.get("Connection"), matchers.Equals("close")
+    )
 
 
 @pytest.mark.parametrize("path", [ONCE, AGAIN, STREAM])
@@ -123,6 +133,7 @@
     async with harness.call(ONCE, data=send_slowly()) as answer:
         assertions.assert_that(answer.status, matchers.Equals(503))
         assertions.assert_that(answer.headers, matchers.Contains("Retry-After"))
+        assert_closes(answer)
     assertions.assert_that(server.requests, matchers.HasLength(0))
 
 
