Do not queue a response whose chunks are invalid at once

Found on reading again: if the invalid chunk came with the end of the head, and nobody waited for the response yet, the head was queued after it had been rejected, and the parser had already read the body to its end: the response was complete. Over the sockets of the tests a reader always waited.

Cause: the check began the body, and the handler went on with the head whatever it found. It now returns the fault as the check of the head does.

--- a/src/hoistmoor/clients/response_handler.py
+++ b/src/hoistmoor/clients/response_handler.py
@@ -83,7 +83,9 @@
     def _parse(self, data: bytes) -> None:
         if not self._meter.has_head:
             self._heads.add(data)
-        elif not self._scan_chunks(data):
+        elif self._chunks is not None and not self._chunks.feed(data):
+            fault = response_heads.ResponseFault.CHUNK
+            self._reject(InvalidResponseError(fault))
             return
         before, payload = self._body_bytes(), self._payload
         super().data_received(data)
@@ -96,13 +98,6 @@
         if place is not None and not self._reading_paused:
             self._reject(FramingLimitError(place, self._received))
 
-    def _scan_chunks(self, data: bytes) -> bool:
-        """Returns whether the chunks of a body are valid so far."""
-        if self._chunks is None or self._chunks.feed(data):
-            return True
-        self._reject(InvalidResponseError(response_heads.ResponseFault.CHUNK))
-        return False
-
     def _body_bytes(self) -> int:
         return self._payload.total_bytes if self._payload is not None else 0
 
@@ -111,27 +106,34 @@
         message, payload = data
         is_final = message.code not in _INTERIM_STATUSES
         if not self._meter.has_head:
-            fault = response_heads.find_fault(self._heads.take())
+            fault = self._find_fault(message, payload, is_final=is_final)
             if fault is not None:
                 self._reject(InvalidResponseError(fault))
                 return
-        if is_final and self._meter.has_head:
+        elif is_final:
             # Another response than the one that was asked for. The first one
             # is complete, and may still be read.
             self._close()
-        elif is_final:
-            self._begin_body(message, payload)
+        if is_final:
+            self._meter.has_head = True
         else:
             self._meter.interim_heads += 1
         super().feed_data(data, size)
 
-    def _begin_body(self, message: Any, payload: Any) -> None:
-        self._meter.has_head = True
+    def _find_fault(
+        self, message: Any, payload: Any, *, is_final: bool
+    ) -> response_heads.ResponseFault | None:
+        """Returns the fault of a head and what came with it, or None."""
+        fault = response_heads.find_fault(self._heads.take())
+        if fault is not None or not is_final:
+            return fault
         begin = bytes(self._heads.received)
         self._heads.received.clear()
-        if message.chunked and payload is not aiohttp.EMPTY_PAYLOAD:
-            self._chunks = chunk_scanner.ChunkScanner()
-            self._scan_chunks(begin)
+        if not message.chunked or payload is aiohttp.EMPTY_PAYLOAD:
+            return None
+        self._chunks = chunk_scanner.ChunkScanner()
+        is_valid = self._chunks.feed(begin)
+        return None if is_valid else response_heads.ResponseFault.CHUNK
 
     def _reject(self, error: aiohttp.ClientError) -> None:
         """Fails the response and closes the connection."""
--- a/tests/clients/test_clients_response_handler.py
+++ b/tests/clients/test_clients_response_handler.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterable
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 MIN_FINAL = 200  # Lowest status code of a head that is not an interim one.
 MAX_BYTES = (
     framing.MAX_HEAD_BYTES
@@ -175,3 +176,29 @@
     answer = HEAD + b"Content-Length: 2\r\n\r\nok"
     received = receive([answer, answer * 100])
     assertions.assert_that(received.is_closed, matchers.Is(True))
+
+
+@hypothesis.settings(deadline=None, derandomize=True, max_examples=200)
+@hypothesis.given(
+    head=strategies.sampled_from(
+        [
+            b"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nfake",
+            b"RTSP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfake",
+            HEAD + b" \r\nContent-Length: 4\r\n\r\nfake",
+            HEAD + b"A: b\r\n c\r\nContent-Length: 4\r\n\r\nfake",
+            HEAD + b"A: \x01\r\nContent-Length: 4\r\n\r\nfake",
+            HEAD + b"Transfer-Encoding: gzip\r\n\r\nfake",
+            CHUNKED + b"5\r\nfake\r\n0\r\n\r\n",
+            CHUNKED + b"4\r\nwell\r\n5\r\nfake\r\n0\r\n\r\n",
+        ]
+    ),
+    sizes=strategies.lists(strategies.integers(1, 90), min_size=1),
+    interim=strategies.integers(0, 2),
+)
+def test_an_invalid_response_is_not_complete_in_any_cut(
+    head: bytes, sizes: list[int], interim: int
+) -> None:
+    data = b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n" * interim + head
+    received = receive(cut(data, sizes))
+    assertions.assert_that(received.is_complete, matchers.Is(False))
+    assertions.assert_that(received.is_closed, matchers.Is(True))
