--- a/tests/relay/front/test_relay_host_end.py
+++ b/tests/relay/front/test_relay_host_end.py
@@ -20,25 +20,25 @@
 async def test_a_response_that_is_being_sent_is_not_cut_off() -> None:
     state = make_state()
     ends = []
+    has_ended = asyncio.Event()
 
     async def deliver() -> None:
         with host_end.delivering(state):
-            await asyncio.sleep(0.05)
+            await has_ended.wait()
             ends.append("delivered")
 
     async def wait() -> None:
         try:
-            await asyncio.sleep(60.0)
+            await asyncio.Event().wait()
         except asyncio.CancelledError:
             if host_end.take_cancellation(state):
                 ends.append("ended")
+            has_ended.set()
 
     tasks = {asyncio.create_task(deliver()), asyncio.create_task(wait())}
     await asyncio.sleep(0)
     await host_end.end_requests(state, tasks)
-    assertions.assert_that(
-        sorted(ends), matchers.Equals(["delivered", "ended"])
-    )
+    assertions.assert_that(ends, matchers.Equals(["ended", "delivered"]))
     assertions.assert_that(state.delivering, matchers.Equals(set()))
 
 
@@ -48,7 +48,7 @@
 
     async def wait() -> None:
         try:
-            await asyncio.sleep(60.0)
+            await asyncio.Event().wait()
         except asyncio.CancelledError:
             taken.append(host_end.take_cancellation(state))
             raise
