Decide in admission alone whether a stopping host takes a request

On reading the change again: the time after which a host takes nothing new was decided twice, by the flag that admission reads and by a time in HostStop, and the refusal was built twice. Admission now decides both, before and after the body, and HostStop tells only whether a request has time to end. The tests of the stop are the same but for the rows of the time that is gone.

--- a/src/hoistmoor/core/relay/course/host_stop.py
+++ b/src/hoistmoor/core/relay/course/host_stop.py
@@ -15,22 +15,17 @@
     """Times of a planned stop.
 
     Attributes:
-        accepts_until: Monotonic time in seconds until which requests that are
-            complete are sent on.
         ends_at: Monotonic time in seconds at which requests in progress end.
     """
 
-    accepts_until: float
     ends_at: float
 
-    def may_send(self, usual_duration: float | None, now: float) -> bool:
-        """Returns whether a request may be sent to a server.
+    def has_time(self, usual_duration: float | None, now: float) -> bool:
+        """Returns whether a request that is sent now ends before the host.
 
         Args:
             usual_duration: Seconds for which such requests run; None if
                 unknown.
             now: Monotonic time in seconds.
         """
-        if now >= self.accepts_until:
-            return False
         return usual_duration is None or now + usual_duration < self.ends_at
--- a/src/hoistmoor/relay/front/admission.py
+++ b/src/hoistmoor/relay/front/admission.py
@@ -65,7 +65,7 @@
     ) -> requests.RelayRequest | refusals.Refusal:
         """Returns the admitted request, or the reason for its refusal."""
         if self._state.stopping:
-            return _refuse(refusals.Reason.STOPPING, "this host stops")
+            return refuse_as_stopping()
         config = self._state.configuration
         if config is None:
             return _refuse(refusals.Reason.NO_TABLE, "no configuration yet")
@@ -77,6 +77,18 @@
             )
         return self._admit_with(config, head, request_id)
 
+    def check_stop(
+        self, request: requests.RelayRequest
+    ) -> refusals.Refusal | None:
+        """Returns the refusal of a complete request if this host stops."""
+        if self._state.stopping:
+            return refuse_as_stopping()
+        stop = self._state.stop
+        usual_duration = self._state.router.usual_duration(request)
+        if stop is None or stop.has_time(usual_duration, self._state.clock()):
+            return None
+        return refuse_as_stopping()
+
     def _admit_with(
         self,
         config: configuration_lib.Configuration,
@@ -175,5 +187,10 @@
     return account.priority
 
 
+def refuse_as_stopping() -> refusals.Refusal:
+    """Returns the refusal of a request that no server has got."""
+    return _refuse(refusals.Reason.STOPPING, "this host stops")
+
+
 def _refuse(reason: refusals.Reason, detail: str) -> refusals.Refusal:
     return refusals.Refusal(reason, outcomes.Outcome.NOT_RUN, detail)
--- a/src/hoistmoor/relay/front/http_handlers.py
+++ b/src/hoistmoor/relay/front/http_handlers.py
@@ -117,7 +117,9 @@
         except asyncio.CancelledError:
             if not host_end.take_cancellation(self._state):
                 raise
-            return await self._refuse_as_stopping(head, answer)
+            answer.keep_open = False
+            refusal = admission_lib.refuse_as_stopping()
+            return await self._refuse(head, answer, refusal)
         except BodyTooLargeError as error:
             refusal = refusals.Refusal(
                 refusals.Reason.BODY_TOO_LARGE,
@@ -125,8 +127,10 @@
                 str(error),
             )
             return await self._refuse(head, answer, refusal)
-        if not self._may_send(admitted):
-            return await self._refuse_as_stopping(head, answer)
+        stopping = self._admission.check_stop(admitted)
+        if stopping is not None:
+            answer.keep_open = False
+            return await self._refuse(head, answer, stopping)
         identified = attrs.evolve(
             admitted,
             fingerprint=fingerprint.of_request(
@@ -146,13 +150,6 @@
         )
         return await task.run()
 
-    def _may_send(self, admitted: requests.RelayRequest) -> bool:
-        """Returns whether a request may be sent on if this host stops."""
-        stop = self._state.stop
-        return stop is None or stop.may_send(
-            self._state.router.usual_duration(admitted), self._state.clock()
-        )
-
     async def _read_body(
         self, request: web.BaseRequest, holding: budget_lib.Holding
     ) -> bytes:
@@ -198,19 +195,6 @@
         async for _ in request.content.iter_any():
             pass
 
-    async def _refuse_as_stopping(
-        self,
-        head: admission_lib.RequestHead,
-        answer: caller_response.CallerResponse,
-    ) -> web.StreamResponse:
-        answer.keep_open = False
-        refusal = refusals.Refusal(
-            refusals.Reason.STOPPING,
-            outcomes.Outcome.NOT_RUN,
-            "this host stops",
-        )
-        return await self._refuse(head, answer, refusal)
-
     async def _refuse(
         self,
         head: admission_lib.RequestHead,
--- a/src/hoistmoor/relay/relay_server.py
+++ b/src/hoistmoor/relay/relay_server.py
@@ -133,7 +133,7 @@
         state.log.write("stopping", running=len(self._running()))
         state.draining = True
         end = began + self._settings().stop_timeout - STOP_MARGIN
-        state.stop = host_stop.HostStop(began + DRAIN_SECONDS, end)
+        state.stop = host_stop.HostStop(end)
         await asyncio.sleep(DRAIN_SECONDS)
         state.stopping = True
         while self._running() and state.clock() < end:
--- a/tests/core/relay/course/test_relay_host_stop.py
+++ b/tests/core/relay/course/test_relay_host_stop.py
@@ -9,7 +9,7 @@
 from hoistmoor.core.relay.answers import response_times
 from hoistmoor.core.relay.course import host_stop
 
-STOP = host_stop.HostStop(accepts_until=102.5, ends_at=107.2)
+STOP = host_stop.HostStop(ends_at=107.2)
 KEY = ("route", "")
 
 
@@ -21,14 +21,14 @@
         (7.0, 100.1, True),
         (7.0, 100.3, False),
         (5.0, 102.3, False),
-        (0.05, 102.5, False),
-        (None, 103.0, False),
+        (0.05, 107.1, True),
+        (0.05, 107.2, False),
     ],
 )
 def test_a_request_is_sent_only_if_it_usually_ends_in_time(
     usual_duration: float | None, now: float, expected: bool
 ) -> None:
-    found = STOP.may_send(usual_duration, now)
+    found = STOP.has_time(usual_duration, now)
     assertions.assert_that(found, matchers.Is(expected))
 
 
