Test invalid responses in streams, and all valid statuses

Missing on reading the change again: the paths of streams, cascades and resumptions, on which an invalid response must not become a part of the stream, and that all statuses from 200 to 599, 204 and 304 among them, still pass.

--- a/tests/clients/test_clients_invalid_responses.py
+++ b/tests/clients/test_clients_invalid_responses.py
@@ -97,6 +97,31 @@
     assertions.assert_that(fault_of(ended), matchers.Is(fault))
 
 
+async def test_every_valid_status_passes(
+    session: aiohttp.ClientSession, make_backend: Callable[..., Any]
+) -> None:
+    async def respond(request: bytes, writer: asyncio.StreamWriter) -> None:
+        status = request.partition(b"?")[2][:3]
+        head = b"HTTP/1.1 %b\r\n" % status + FIELDS
+        if status not in (b"204", b"304"):
+            head += b"Content-Length: 4\r\n\r\nbody"
+        writer.write(head + b"\r\n" * (status in (b"204", b"304")))
+        await writer.drain()
+
+    backend = await make_backend(respond)
+    for status in range(200, 600):
+        url = f"http://{backend.address}/x?{status}"
+        request = exchange.HttpRequest("POST", url, ATTEMPT)
+        sent = exchange.Exchange(session, request)
+        ended = await ended_exchange.run(sent)
+        assertions.assert_that(sent.state, matchers.Is(State.ANSWERED))
+        (head, *_) = ended.parts
+        assert isinstance(head, exchange.ResponseHead)
+        assertions.assert_that(head.status, matchers.Equals(status))
+        body = b"" if status in (204, 304) else b"body"
+        assertions.assert_that(b"".join(ended.chunks), matchers.Equals(body))
+
+
 async def test_an_exchange_with_invalid_chunks_is_incomplete(
     session: aiohttp.ClientSession, make_backend: Callable[..., Any]
 ) -> None:
--- a/tests/relay/front/test_relay_invalid_responses.py
+++ b/tests/relay/front/test_relay_invalid_responses.py
@@ -26,6 +26,11 @@
 LENGTH = b"Content-Length: 4\r\n"
 SOUND = STATUS + NAMES + LENGTH + b"\r\ndone"
 CALLS = 40
+STREAM = "/chat/x"
+MODEL = {"X-Model": "*", "X-Tokens": "10,5", "X-Prompt-Parts": "a:4,b:6"}
+EVENTS = b"Content-Type: text/event-stream\r\n\r\n"
+FIRST = b"id: 1\ndata: t\n\n"
+SECOND = b"id: 2\ndata: t\n\n"
 
 
 def with_status_line(line: bytes) -> bytes:
@@ -226,6 +231,35 @@
     assertions.assert_that(broken.requests, matchers.HasLength(1))
 
 
+@pytest.mark.parametrize("is_resumption", [False, True])
+@pytest.mark.parametrize("response", INVALID.values(), ids=INVALID.keys())
+async def test_an_invalid_response_is_no_part_of_a_stream(
+    harness: Harness, response: bytes, is_resumption: bool
+) -> None:
+    async def answer(
+        backend: Backend, request: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Breaks the stream off, and sends the invalid response once."""
+        is_resumed = b"last-event-id: 1" in request.lower()
+        if is_resumed == is_resumption and not invalid:
+            invalid.append(request)
+            await send(response, backend, request, writer)
+            return
+        length = b"" if is_resumed else b"Content-Length: 99\r\n"
+        event = SECOND if is_resumed else FIRST
+        head = STATUS + NAMES + length + EVENTS
+        await send(head + event, backend, request, writer)
+
+    invalid: list[bytes] = []
+    for number in range(3):
+        await harness.add_backend(f"s{number}", answer, service="llm")
+    async with harness.call(STREAM, data=b"x", headers=MODEL) as got:
+        status, body = got.status, await got.read()
+    assertions.assert_that(invalid, matchers.HasLength(1))
+    assertions.assert_that(status, matchers.Equals(200))
+    assertions.assert_that(body, matchers.Equals(FIRST + SECOND))
+
+
 @pytest.mark.parametrize("path", [ONCE, AGAIN])
 @pytest.mark.parametrize(
     "response", SOUND_VARIANTS.values(), ids=SOUND_VARIANTS.keys()
